--- /dev/null
+++ b/apps/agent/AgentCore.cpp
@@ -0,0 +1,723 @@
+#include "AgentCore.h"
+
+#include "telemetry/Telemetry.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace citronspoke::agent {
+
+namespace {
+
+    using telemetry::EventKind;
+
+    constexpr size_t EventCapacity = 65536;
+    constexpr Milliseconds TickInterval { 20 };
+    constexpr Milliseconds HeartbeatInterval { 500 };
+    constexpr std::chrono::seconds SubscriptionLifetime { 10 };
+    constexpr std::chrono::seconds FinishedJobLifetime { 30 };
+    /** Running streams are moved to other engines when a planned change has waited this long. */
+    constexpr Milliseconds ChangePatience { 3000 };
+    constexpr size_t TombstonesKept = 20000;
+    constexpr Milliseconds RetryWhenLeaving { 100 };
+    constexpr Milliseconds RetryWhenJournalAway { 1000 };
+    /** Streams that end together within this time ended by one crash. */
+    constexpr Milliseconds CrashWindow { 200 };
+    /** Trial work leaves this share of the slots free for paying work. */
+    constexpr double TrialSlotShare = 0.75;
+
+} // namespace
+
+AgentCore::AgentCore(const settings::AgentSettings& settings, const platform::Store& store,
+    control::ConfigHolder& config)
+    : m_settings(settings)
+    , m_self(settings.process.id)
+    , m_incarnation(randomHex(16))
+    , m_store(store)
+    , m_config(config)
+    , m_events(EventCapacity)
+{
+}
+
+AgentCore::~AgentCore() { stop(); }
+
+void AgentCore::start()
+{
+    m_meter.reset(m_role);
+    m_mailbox = std::make_unique<transport::Mailbox>(m_settings.process.mailbox,
+        [this](protocol::Message message) { post(std::move(message)); });
+    m_exchange = std::make_unique<ConfigExchange>(m_config, *m_mailbox);
+    m_target = std::make_unique<TargetClient>(m_settings.target,
+        TargetClient::Callbacks { [this](TokenArrived event) { post(std::move(event)); },
+            [this](CallEnded event) { post(std::move(event)); } });
+    m_duty.emplace("core", [this](const std::stop_token& token) { run(token); });
+}
+
+void AgentCore::stop()
+{
+    if (!m_duty)
+        return;
+    constexpr Milliseconds FlushLimit { 1000 };
+    m_mailbox->flush(FlushLimit);
+    m_events.close();
+    m_duty.reset();
+    m_target.reset();
+    m_journal.reset();
+    m_mailbox.reset();
+}
+
+void AgentCore::post(AgentEvent event)
+{
+    if (!m_events.tryPush(std::move(event)))
+        telemetry::count("events_dropped");
+}
+
+std::string AgentCore::status() const
+{
+    std::lock_guard lock(m_statusMutex);
+    return m_status;
+}
+
+void AgentCore::run(const std::stop_token&)
+{
+    std::deque<AgentEvent> batch;
+    while (m_events.popAll(batch, TickInterval)) {
+        for (AgentEvent& event : batch)
+            std::visit([this](auto& body) { on(body); }, event);
+        tick();
+    }
+}
+
+void AgentCore::tick()
+{
+    const SteadyTime now = steadyNow();
+    std::erase_if(m_jobs, [now](const auto& entry) {
+        const Job& job = entry.second;
+        return job.state == JobState::Done && now - job.ended > FinishedJobLifetime;
+    });
+    const UnixMillis wallNow = unixNow();
+    for (auto& [request, job] : m_jobs) {
+        if (job.state == JobState::Queued && job.submit.deadline < wallNow)
+            refuse(job, RefusalReason::DeadlinePassed, ExecutionState::NotRun);
+    }
+    const settings::DeploymentPointer deployment = m_config.current();
+    if (deployment && !m_isLeaving) {
+        auto self = deployment->targets.find(m_self);
+        const bool isDrained = self == deployment->targets.end() || self->second.isDrained;
+        if (isDrained && m_state == ServingState::Serving) {
+            m_state = ServingState::Leaving;
+            m_patienceEnd = now + ChangePatience;
+            telemetry::record(EventKind::StateChanged, {}, m_self, "drained by configuration");
+            m_nextHeartbeat = now;
+        }
+        if (!isDrained && m_state == ServingState::Leaving) {
+            m_state = ServingState::Serving;
+            telemetry::record(EventKind::StateChanged, {}, m_self, "serving again");
+            m_nextHeartbeat = now;
+        }
+    }
+    if (m_state != ServingState::Serving)
+        moveAway(now > m_patienceEnd);
+    schedule();
+    updateEmptiness();
+    if (now >= m_nextHeartbeat)
+        sendHeartbeats();
+}
+
+const settings::Pool* AgentCore::pool() const
+{
+    const settings::DeploymentPointer deployment = m_config.current();
+    if (!deployment)
+        return nullptr;
+    auto target = deployment->targets.find(m_self);
+    return target == deployment->targets.end() ? nullptr
+                                               : &deployment->pools.at(target->second.pool);
+}
+
+void AgentCore::on(protocol::Message& message)
+{
+    std::visit([this](auto& body) { receive(body); }, message);
+}
+
+void AgentCore::receive(protocol::Hello& hello)
+{
+    Subscriber& subscriber = m_subscribers[hello.entry];
+    if (subscriber.hello.address != hello.address)
+        m_nextHeartbeat = steadyNow();
+    subscriber.lastHello = steadyNow();
+    for (const protocol::CrashVerdict& verdict : hello.verdicts)
+        m_ledger.merge(verdict.fingerprint, { verdict.crashes, verdict.expires });
+    m_exchange->noteRevision(hello.address, hello.config);
+    subscriber.hello = std::move(hello);
+}
+
+void AgentCore::receive(protocol::ConfigPull& pull) { m_exchange->handle(pull); }
+
+void AgentCore::receive(protocol::ConfigPush& push)
+{
+    m_exchange->handle(push);
+    m_nextHeartbeat = steadyNow();
+}
+
+void AgentCore::receive(protocol::OrderHint&)
+{
+    if (m_onOrderHint)
+        m_onOrderHint();
+}
+
+RefusalReason AgentCore::reasonToRefuse(const protocol::Submit& submit) const
+{
+    if (m_state != ServingState::Serving)
+        return RefusalReason::Leaving;
+    if (!pool() || submit.config < m_config.revision())
+        return RefusalReason::StaleConfiguration;
+    if (submit.deadline < unixNow())
+        return RefusalReason::DeadlinePassed;
+    if (m_ledger.suspicion(submit.fingerprint, unixNow()) == decisions::Suspicion::Convicted)
+        return RefusalReason::Quarantined;
+    return RefusalReason::None;
+}
+
+void AgentCore::receive(protocol::Submit& submit)
+{
+    m_exchange->noteRevision(submit.replyTo, submit.config);
+    auto tombstone = m_tombstones.find(submit.request);
+    if (tombstone != m_tombstones.end() && submit.attempt <= tombstone->second)
+        return;
+    auto known = m_jobs.find(submit.request);
+    if (known != m_jobs.end() && known->second.submit.attempt >= submit.attempt) {
+        m_mailbox->send(submit.replyTo, protocol::Accepted { submit.request, submit.attempt });
+        return;
+    }
+    if (known != m_jobs.end() && known->second.state != JobState::Done)
+        return continueHere(known->second, submit);
+    const RefusalReason reason = reasonToRefuse(submit);
+    Job& job = m_jobs[submit.request];
+    job = {};
+    job.submit = std::move(submit);
+    job.arrived = steadyNow();
+    if (reason != RefusalReason::None)
+        return refuse(job, reason, ExecutionState::NotRun, RetryWhenLeaving);
+    failurePoint("agent.before_accept");
+    m_mailbox->send(
+        job.submit.replyTo, protocol::Accepted { job.submit.request, job.submit.attempt });
+    telemetry::record(EventKind::AttemptQueued, job.submit.request, m_self);
+    if (!job.isTrial())
+        m_meter.noteDemand(job.submit.promptTokens, job.submit.outputTokens, job.arrived);
+    if (!job.submit.key.empty()) {
+        begin(job);
+        return;
+    }
+    schedule();
+}
+
+// A later attempt of a request that is still here: its entry lost touch, the job goes on.
+void AgentCore::continueHere(Job& job, protocol::Submit& submit)
+{
+    job.submit.attempt = submit.attempt;
+    job.submit.replyTo = submit.replyTo;
+    m_mailbox->send(submit.replyTo, protocol::Accepted { submit.request, submit.attempt });
+    sendFrom(job, submit.resumeFrom);
+}
+
+void AgentCore::receive(protocol::Cancel& cancel)
+{
+    addTombstone(cancel.request, cancel.attempt);
+    auto found = m_jobs.find(cancel.request);
+    if (found == m_jobs.end() || found->second.submit.attempt > cancel.attempt)
+        return;
+    Job& job = found->second;
+    // A call that may not be repeated goes on, so that its result reaches the journal.
+    const bool isBound = !job.submit.key.empty() && job.state != JobState::Done;
+    if (isBound || job.state == JobState::Done)
+        return;
+    if (job.state == JobState::Running)
+        m_target->cancel(job.stream);
+    telemetry::record(EventKind::AttemptCancelled, cancel.request, m_self);
+    m_jobs.erase(found);
+}
+
+// A late or doubled message must never start an attempt that was said not to run.
+void AgentCore::addTombstone(const RequestId& request, AttemptNumber attempt)
+{
+    if (m_tombstones.emplace(request, attempt).second)
+        m_tombstoneOrder.push_back(request);
+    AttemptNumber& newest = m_tombstones[request];
+    newest = std::max(newest, attempt);
+    if (m_tombstoneOrder.size() > TombstonesKept) {
+        m_tombstones.erase(m_tombstoneOrder.front());
+        m_tombstoneOrder.pop_front();
+    }
+}
+
+void AgentCore::receive(protocol::Attach& attach)
+{
+    auto found = m_jobs.find(attach.request);
+    const bool isKnown
+        = found != m_jobs.end() && found->second.submit.organisation == attach.organisation;
+    if (!isKnown) {
+        protocol::Refusal refusal;
+        refusal.request = attach.request;
+        refusal.reason = RefusalReason::UnknownRequest;
+        refusal.execution = ExecutionState::MayHaveRun;
+        m_mailbox->send(attach.replyTo, refusal);
+        return;
+    }
+    found->second.submit.replyTo = attach.replyTo;
+    sendFrom(found->second, attach.fromOffset);
+}
+
+void AgentCore::sendFrom(const Job& job, uint32_t offset)
+{
+    uint32_t position = job.submit.resumeFrom;
+    for (const std::string& text : job.tokens) {
+        if (position >= offset) {
+            m_mailbox->send(job.submit.replyTo,
+                protocol::Chunk { job.submit.request, job.submit.attempt, position, 1, text });
+        }
+        position += 1;
+    }
+    if (job.answer) {
+        protocol::Final answer = *job.answer;
+        answer.attempt = job.submit.attempt;
+        m_mailbox->send(job.submit.replyTo, std::move(answer));
+    }
+}
+
+size_t AgentCore::countActive() const
+{
+    return static_cast<size_t>(std::count_if(
+        m_jobs.begin(), m_jobs.end(), [](const auto& entry) { return entry.second.isActive(); }));
+}
+
+// Paying work goes before trial work, and each class by its deadline, so that long work that
+// can wait is not starved: its deadline comes nearer.
+Job* AgentCore::nextQueued()
+{
+    const UnixMillis now = unixNow();
+    bool hasSuspect = false;
+    for (const auto& [request, job] : m_jobs) {
+        const bool isSuspect
+            = m_ledger.suspicion(job.submit.fingerprint, now) == decisions::Suspicion::Suspect;
+        hasSuspect = hasSuspect || (isSuspect && job.isActive());
+    }
+    Job* best = nullptr;
+    for (auto& [request, job] : m_jobs) {
+        if (job.state != JobState::Queued)
+            continue;
+        const bool isSuspect
+            = m_ledger.suspicion(job.submit.fingerprint, now) == decisions::Suspicion::Suspect;
+        if (isSuspect && hasSuspect)
+            continue;
+        const auto rank = [](const Job& j) { return std::pair(j.isTrial(), j.submit.deadline); };
+        if (!best || rank(job) < rank(*best))
+            best = &job;
+    }
+    return best;
+}
+
+void AgentCore::schedule()
+{
+    const settings::Pool* ownPool = pool();
+    if (!ownPool || m_state != ServingState::Serving)
+        return;
+    while (Job* job = nextQueued()) {
+        const size_t active = countActive();
+        const size_t trialSlots
+            = std::max<size_t>(1, static_cast<size_t>(TrialSlotShare * ownPool->slots));
+        if (job->isTrial() && active >= trialSlots)
+            return;
+        if (active >= ownPool->slots && !(!job->isTrial() && pauseOneTrial()))
+            return;
+        begin(*job);
+    }
+}
+
+bool AgentCore::pauseOneTrial()
+{
+    Job* paused = nullptr;
+    for (auto& [request, job] : m_jobs) {
+        const bool canPause
+            = job.isTrial() && job.state == JobState::Running && !job.isServiceCall();
+        if (canPause && (!paused || job.started > paused->started))
+            paused = &job;
+    }
+    if (!paused)
+        return false;
+    m_target->cancel(paused->stream);
+    paused->state = JobState::Queued;
+    telemetry::record(EventKind::AttemptPaused, paused->submit.request, m_self);
+    telemetry::count("trials_paused");
+    return true;
+}
+
+void AgentCore::begin(Job& job)
+{
+    if (job.submit.key.empty())
+        return runAtTarget(job);
+    ensureJournal();
+    job.state = JobState::Journaling;
+    journal::Call call;
+    call.key = job.submit.key;
+    call.request = job.submit.request;
+    call.fingerprint = job.submit.fingerprint;
+    m_journal->begin(std::move(call),
+        [this, request = job.submit.request, attempt = job.submit.attempt](
+            const journal::BeginOutcome& outcome) {
+            post(JournalAnswered { request, attempt, outcome });
+        });
+}
+
+void AgentCore::ensureJournal()
+{
+    if (m_journal)
+        return;
+    const settings::DeploymentPointer deployment = m_config.current();
+    journal::Options options;
+    options.pool = pool()->id;
+    options.self = m_self;
+    options.incarnation = m_incarnation;
+    options.shards = pool()->journalShards;
+    options.commitInterval = deployment->journal.commitInterval;
+    options.retention = deployment->journal.retention;
+    m_journal = std::make_unique<journal::Journal>(m_store, std::move(options));
+}
+
+void AgentCore::runAtTarget(Job& job)
+{
+    failurePoint("agent.before_target");
+    job.state = JobState::Running;
+    job.started = steadyNow();
+    job.lastToken = {};
+    job.stream = m_target->start(job);
+    telemetry::record(EventKind::AttemptStarted, job.submit.request, m_self);
+    failurePoint("agent.after_target");
+}
+
+void AgentCore::on(JournalAnswered& event)
+{
+    auto found = m_jobs.find(event.request);
+    if (found == m_jobs.end())
+        return;
+    Job& job = found->second;
+    if (std::holds_alternative<journal::MayStart>(event.outcome)) {
+        telemetry::record(EventKind::JournalStarted, event.request, m_self);
+        return runAtTarget(job);
+    }
+    if (const auto* finished = std::get_if<journal::AlreadyFinished>(&event.outcome)) {
+        telemetry::record(EventKind::JournalReplayed, event.request, m_self);
+        telemetry::count("duplicates_answered");
+        if (finished->result.httpStatus == 0)
+            return refuse(job, RefusalReason::InterruptedRun, ExecutionState::MayHaveRun);
+        protocol::Final answer;
+        answer.httpStatus = finished->result.httpStatus;
+        answer.body = finished->result.body;
+        answer.replayed = true;
+        return finish(job, std::move(answer));
+    }
+    if (std::holds_alternative<journal::InProgress>(event.outcome)) {
+        m_waiters[job.submit.key].push_back(event.request);
+        return;
+    }
+    if (const auto* elsewhere = std::get_if<journal::OwnedElsewhere>(&event.outcome)) {
+        protocol::Refusal refusal;
+        refusal.request = event.request;
+        refusal.attempt = job.submit.attempt;
+        refusal.reason = RefusalReason::NotOwner;
+        refusal.owner = elsewhere->owner;
+        refusal.config = m_config.revision();
+        m_mailbox->send(job.submit.replyTo, refusal);
+        m_jobs.erase(found);
+        return;
+    }
+    if (std::holds_alternative<journal::Interrupted>(event.outcome))
+        return refuse(job, RefusalReason::InterruptedRun, ExecutionState::MayHaveRun);
+    if (std::holds_alternative<journal::KeyMismatch>(event.outcome))
+        return refuse(job, RefusalReason::KeyReused, ExecutionState::NotRun);
+    refuse(job, RefusalReason::JournalUnavailable, ExecutionState::NotRun, RetryWhenJournalAway);
+}
+
+void AgentCore::on(TokenArrived& event)
+{
+    auto found = m_jobs.find(event.request);
+    if (found == m_jobs.end())
+        return;
+    Job& job = found->second;
+    const bool isCurrent = job.state == JobState::Running && job.stream == event.stream
+        && event.offset == job.nextOffset();
+    if (!isCurrent)
+        return;
+    const SteadyTime now = steadyNow();
+    if (job.lastToken == SteadyTime {})
+        m_meter.notePromptRead(job.submit.promptTokens, now);
+    else
+        m_meter.noteTokenGap(job.lastToken, now);
+    job.lastToken = now;
+    job.tokens.push_back(event.text);
+    m_mailbox->send(job.submit.replyTo,
+        protocol::Chunk {
+            event.request, job.submit.attempt, event.offset, 1, std::move(event.text) });
+    failurePoint("agent.after_chunk");
+}
+
+void AgentCore::on(CallEnded& event)
+{
+    constexpr uint32_t HttpOk = 200;
+    constexpr uint32_t Unavailable = 503;
+    auto found = m_jobs.find(event.request);
+    if (found == m_jobs.end())
+        return;
+    Job& job = found->second;
+    if (job.state != JobState::Running || job.stream != event.stream)
+        return;
+    protocol::Final answer;
+    answer.totalTokens = job.nextOffset();
+    if (job.isServiceCall()) {
+        answer.httpStatus = event.end.status;
+        answer.body = std::move(event.body);
+    }
+    const bool isWhole = event.isWhole && (job.isServiceCall() || event.end.status == HttpOk);
+    if (isWhole && job.submit.key.empty())
+        return finish(job, std::move(answer));
+    if (isWhole) {
+        job.state = JobState::Storing;
+        job.answer = answer;
+        failurePoint("agent.before_store_result");
+        m_journal->finish(job.submit.key, { answer.httpStatus, answer.body },
+            [this, request = event.request](bool isStored) {
+                post(ResultStored { request, isStored });
+            });
+        return;
+    }
+    telemetry::record(EventKind::AttemptFailed, event.request, m_self);
+    const bool mayHaveRun = event.end.mayHaveArrived && event.end.status != Unavailable;
+    if (!job.submit.key.empty() && mayHaveRun)
+        m_journal->finish(job.submit.key, {}, [](bool) {});
+    else if (!job.submit.key.empty())
+        m_journal->abandon(job.submit.key);
+    if (mayHaveRun && !job.isServiceCall())
+        noteCrash();
+    refuse(job, RefusalReason::TargetFailed,
+        mayHaveRun ? ExecutionState::MayHaveRun : ExecutionState::NotRun);
+}
+
+void AgentCore::noteCrash()
+{
+    const SteadyTime now = steadyNow();
+    if (now - m_lastCrash < CrashWindow)
+        return;
+    m_lastCrash = now;
+    std::vector<uint64_t> running;
+    for (const auto& [request, job] : m_jobs) {
+        if (job.state == JobState::Running)
+            running.push_back(job.submit.fingerprint);
+    }
+    m_ledger.noteCrash(running, unixNow());
+    telemetry::count("target_crashes");
+    for (const uint64_t fingerprint : running) {
+        if (m_ledger.suspicion(fingerprint, unixNow()) == decisions::Suspicion::Convicted)
+            telemetry::record(EventKind::CrashConvicted, {}, m_self, std::to_string(fingerprint));
+    }
+    sendHeartbeats();
+}
+
+void AgentCore::on(ResultStored& event)
+{
+    auto found = m_jobs.find(event.request);
+    if (found == m_jobs.end() || !found->second.answer)
+        return;
+    if (event.isStored)
+        telemetry::record(EventKind::JournalFinished, event.request, m_self);
+    protocol::Final answer = *found->second.answer;
+    finish(found->second, std::move(answer));
+}
+
+void AgentCore::finish(Job& job, protocol::Final answer)
+{
+    answer.request = job.submit.request;
+    answer.attempt = job.submit.attempt;
+    job.state = JobState::Done;
+    job.ended = steadyNow();
+    job.answer = answer;
+    m_ledger.noteFinished(job.submit.fingerprint);
+    failurePoint("agent.before_final");
+    m_mailbox->send(job.submit.replyTo, answer);
+    telemetry::record(EventKind::RequestFinished, job.submit.request, m_self);
+    endWaiters(job, &answer);
+    schedule();
+}
+
+void AgentCore::refuse(
+    Job& job, RefusalReason reason, ExecutionState execution, Milliseconds retryAfter)
+{
+    protocol::Refusal refusal;
+    refusal.request = job.submit.request;
+    refusal.attempt = job.submit.attempt;
+    refusal.reason = reason;
+    refusal.execution = execution;
+    refusal.retryAfterMs = static_cast<uint32_t>(retryAfter.count());
+    refusal.config = m_config.revision();
+    m_mailbox->send(job.submit.replyTo, refusal);
+    telemetry::record(
+        EventKind::AttemptRefused, job.submit.request, m_self, std::string(toText(reason)));
+    telemetry::count("attempts_refused", { { "reason", std::string(toText(reason)) } });
+    job.state = JobState::Done;
+    job.ended = steadyNow();
+    job.answer.reset();
+    if (execution == ExecutionState::NotRun)
+        addTombstone(job.submit.request, job.submit.attempt);
+    endWaiters(job, nullptr);
+}
+
+void AgentCore::endWaiters(const Job& job, const protocol::Final* answer)
+{
+    auto waiting = m_waiters.extract(job.submit.key);
+    if (job.submit.key.empty() || waiting.empty())
+        return;
+    for (const RequestId& request : waiting.mapped()) {
+        auto found = m_jobs.find(request);
+        if (found == m_jobs.end() || found->second.state == JobState::Done)
+            continue;
+        if (!answer) {
+            refuse(found->second, RefusalReason::InterruptedRun, ExecutionState::MayHaveRun);
+            continue;
+        }
+        protocol::Final copy = *answer;
+        copy.replayed = true;
+        telemetry::count("duplicates_answered");
+        finish(found->second, std::move(copy));
+    }
+}
+
+// Entries continue moved work on other targets, from the tokens that callers already have.
+void AgentCore::moveAway(bool includeRunning)
+{
+    for (auto& [request, job] : m_jobs) {
+        if (job.state == JobState::Queued)
+            refuse(job, RefusalReason::Leaving, ExecutionState::NotRun);
+        const bool canMove = job.state == JobState::Running && !job.isServiceCall();
+        if (!includeRunning || !canMove)
+            continue;
+        m_target->cancel(job.stream);
+        telemetry::count("streams_moved");
+        refuse(job, RefusalReason::Leaving, ExecutionState::MayHaveRun);
+    }
+}
+
+void AgentCore::on(EmptyTarget& event)
+{
+    m_state = ServingState::Changing;
+    m_patienceEnd = steadyNow() + ChangePatience;
+    m_emptied = std::move(event.done);
+    telemetry::record(EventKind::StateChanged, {}, m_self, "changing");
+    sendHeartbeats();
+}
+
+void AgentCore::on(ChangeEnded& event)
+{
+    m_role = event.role;
+    m_progress = event.progress;
+    m_meter.reset(m_role);
+    m_state = m_isLeaving ? ServingState::Leaving : ServingState::Serving;
+    telemetry::record(EventKind::StateChanged, {}, m_self, "role " + std::string(toText(m_role)));
+    sendHeartbeats();
+}
+
+void AgentCore::on(Leave&)
+{
+    m_isLeaving = true;
+    if (m_state == ServingState::Serving) {
+        m_state = ServingState::Leaving;
+        m_patienceEnd = steadyNow() + ChangePatience;
+    }
+    telemetry::record(EventKind::StateChanged, {}, m_self, "leaving");
+    sendHeartbeats();
+}
+
+void AgentCore::updateEmptiness()
+{
+    const bool hasWork = std::any_of(m_jobs.begin(), m_jobs.end(),
+        [](const auto& entry) { return entry.second.state != JobState::Done; });
+    m_isEmpty = m_isLeaving && !hasWork;
+    if (m_emptied && !hasWork) {
+        m_emptied->set_value();
+        m_emptied.reset();
+    }
+}
+
+protocol::TargetLoad AgentCore::load() const
+{
+    protocol::TargetLoad total;
+    const settings::Pool* ownPool = pool();
+    total.slots = ownPool ? ownPool->slots : 0;
+    total.prefillTokensPerSecond = m_meter.prefillTokensPerSecond();
+    total.decodeStepMs = m_meter.decodeStepMs();
+    total.promptDemandPerSecond = m_meter.promptDemandPerSecond(steadyNow());
+    total.outputDemandPerSecond = m_meter.outputDemandPerSecond(steadyNow());
+    for (const auto& [request, job] : m_jobs) {
+        if (job.state == JobState::Done)
+            continue;
+        const bool isQueued = job.state == JobState::Queued;
+        if (job.isTrial()) {
+            (isQueued ? total.queuedTrial : total.runningTrial) += 1;
+            continue;
+        }
+        (isQueued ? total.queuedPaying : total.runningPaying) += 1;
+        if (job.tokens.empty())
+            total.prefillBacklogTokens += job.submit.promptTokens;
+        const uint32_t end = std::max(job.submit.outputTokens, job.nextOffset());
+        total.decodeBacklogTokens += end - job.nextOffset();
+    }
+    return total;
+}
+
+protocol::Heartbeat AgentCore::heartbeat() const
+{
+    protocol::Heartbeat beat;
+    beat.target = m_self;
+    beat.address = m_mailbox->address();
+    beat.incarnation = m_incarnation;
+    beat.role = m_role;
+    beat.state = m_state;
+    beat.load = load();
+    beat.config = m_config.revision();
+    beat.order = m_progress;
+    beat.entries = static_cast<uint32_t>(m_subscribers.size());
+    for (const auto& [fingerprint, record] : m_ledger.records(unixNow()))
+        beat.verdicts.push_back(
+            { fingerprint, record.crashes, record.crashes > 1, record.expires });
+    return beat;
+}
+
+void AgentCore::sendHeartbeats()
+{
+    const SteadyTime now = steadyNow();
+    m_nextHeartbeat = now + jittered(HeartbeatInterval);
+    std::erase_if(m_subscribers,
+        [now](const auto& entry) { return now - entry.second.lastHello > SubscriptionLifetime; });
+    const protocol::Heartbeat beat = heartbeat();
+    nlohmann::json entries = nlohmann::json::array();
+    for (const auto& [entry, subscriber] : m_subscribers) {
+        m_mailbox->send(subscriber.hello.address, beat);
+        entries.push_back(
+            { { "id", entry.text() }, { "operator", subscriber.hello.operatorAddress } });
+    }
+    size_t reading = 0;
+    for (const auto& [request, job] : m_jobs)
+        reading += job.state == JobState::Running && job.tokens.empty() ? 1 : 0;
+    m_meter.noteReading(reading, now);
+    const nlohmann::json status { { "id", m_self.text() }, { "state", toText(m_state) },
+        { "role", toText(m_role) }, { "config", beat.config.value() },
+        { "running", beat.load.runningPaying + beat.load.runningTrial },
+        { "queued", beat.load.queuedPaying + beat.load.queuedTrial },
+        { "prefill_tokens_per_second", beat.load.prefillTokensPerSecond },
+        { "decode_step_ms", beat.load.decodeStepMs },
+        { "order",
+            { { "fencing", m_progress.fencing.value() },
+                { "sequence", m_progress.sequence.value() }, { "done", m_progress.done } } },
+        { "entries", entries } };
+    std::lock_guard lock(m_statusMutex);
+    m_status = status.dump();
+}
+
+} // namespace citronspoke::agent
--- /dev/null
+++ b/apps/entry/Controller.cpp
@@ -0,0 +1,184 @@
+#include "Controller.h"
+
+#include "telemetry/Telemetry.h"
+
+#include <algorithm>
+
+namespace citronspoke::entry {
+
+namespace {
+
+    constexpr Milliseconds RoundInterval { 800 };
+
+    std::map<TargetId, TargetView> membersOf(const FleetSnapshot& fleet, const PoolId& pool)
+    {
+        std::map<TargetId, TargetView> members;
+        for (const auto& [id, view] : fleet.targets) {
+            if (view.settings.pool == pool)
+                members.emplace(id, view);
+        }
+        return members;
+    }
+
+    bool isServing(const TargetView& view)
+    {
+        return view.heartbeat && !view.isSuspected
+            && view.heartbeat->state == ServingState::Serving;
+    }
+
+    decisions::RolePolicy policyOf(const settings::RoleSettings& roles)
+    {
+        decisions::RolePolicy policy;
+        policy.changePrice = roles.changePrice;
+        policy.horizon = roles.horizon;
+        policy.shortestInterval = roles.shortestInterval;
+        policy.floorPerRole = roles.floorPerRole;
+        return policy;
+    }
+
+} // namespace
+
+Controller::Controller(const settings::EntrySettings& settings, const platform::Store& store,
+    const control::ConfigHolder& config, Router& router)
+    : m_settings(settings)
+    , m_store(store)
+    , m_config(config)
+    , m_router(router)
+{
+}
+
+void Controller::start()
+{
+    m_duty.emplace("controller", [this](const std::stop_token& token) { run(token); });
+}
+
+void Controller::stop()
+{
+    m_duty->requestStop();
+    m_duty.reset();
+    for (auto& [pool, held] : m_held)
+        held.shard.release();
+    m_held.clear();
+}
+
+void Controller::run(const std::stop_token& token)
+{
+    while (sleepUnlessStopped(token, jittered(RoundInterval))) {
+        try {
+            round();
+        } catch (const platform::StoreUnavailable&) {
+            telemetry::count("control_rounds_failed");
+        }
+    }
+}
+
+void Controller::round()
+{
+    const settings::DeploymentPointer deployment = m_config.current();
+    if (!deployment)
+        return;
+    for (auto position = m_held.begin(); position != m_held.end();) {
+        const bool isHeld = position->second.shard.renew();
+        position = isHeld ? std::next(position) : m_held.erase(position);
+    }
+    tryOnePool(*deployment);
+    for (auto& [pool, held] : m_held) {
+        if (deployment->pools.contains(pool))
+            serve(deployment->pools.at(pool), held, *deployment);
+    }
+}
+
+void Controller::tryOnePool(const settings::Deployment& deployment)
+{
+    std::vector<PoolId> free;
+    for (const auto& [id, pool] : deployment.pools) {
+        if (pool.kind == TargetKind::ModelEngine && !m_held.contains(id))
+            free.push_back(id);
+    }
+    if (free.empty())
+        return;
+    const PoolId& pool = free[stableHash(randomHex(8)) % free.size()];
+    HeldShard candidate { control::ControlShard(m_store, pool, EntryId(m_settings.process.id)),
+        {} };
+    if (!candidate.shard.tryAcquire())
+        return;
+    telemetry::logInfo("control", "Shard taken over.", { { "pool", pool.text() } });
+    m_held.emplace(pool, std::move(candidate));
+}
+
+void Controller::serve(
+    const settings::Pool& pool, HeldShard& held, const settings::Deployment& deployment)
+{
+    const std::map<TargetId, TargetView> members = membersOf(*m_router.snapshot(), pool.id);
+    noteProgress(held, members);
+    if (held.shard.isHeld())
+        orderDeclaredRoles(pool.id, held, members);
+    if (held.shard.isHeld() && deployment.roles.isEnabled)
+        orderPlannedRole(pool, held, members, deployment.roles);
+}
+
+void Controller::noteProgress(HeldShard& held, const std::map<TargetId, TargetView>& members)
+{
+    for (const auto& [id, view] : members) {
+        if (!held.shard.isHeld())
+            return;
+        if (view.heartbeat && view.heartbeat->order.done)
+            held.shard.noteDone(id, view.heartbeat->order.fencing, view.heartbeat->order.sequence);
+    }
+}
+
+// One change at a time in a pool; a role that the operator declares goes before the planner.
+void Controller::orderDeclaredRoles(
+    const PoolId& pool, HeldShard& held, const std::map<TargetId, TargetView>& members)
+{
+    const bool isChanging = std::any_of(members.begin(), members.end(), [](const auto& entry) {
+        return entry.second.heartbeat && entry.second.heartbeat->state == ServingState::Changing;
+    });
+    const bool isOutstanding = std::any_of(held.shard.state().orders.begin(),
+        held.shard.state().orders.end(), [](const auto& entry) { return !entry.second.isDone; });
+    if (isChanging || isOutstanding)
+        return;
+    for (const auto& [id, view] : members) {
+        const std::optional<EngineRole> wanted = view.settings.role;
+        if (!wanted || !isServing(view) || view.heartbeat->role == *wanted)
+            continue;
+        issue(pool, held, view, *wanted);
+        return;
+    }
+}
+
+void Controller::orderPlannedRole(const settings::Pool& pool, HeldShard& held,
+    const std::map<TargetId, TargetView>& members, const settings::RoleSettings& roles)
+{
+    decisions::Demand demand;
+    std::vector<decisions::EngineView> engines;
+    for (const auto& [id, view] : members) {
+        if (!view.heartbeat || view.settings.role)
+            continue;
+        demand.promptTokensPerSecond += view.heartbeat->load.promptDemandPerSecond;
+        demand.outputTokensPerSecond += view.heartbeat->load.outputDemandPerSecond;
+        decisions::EngineView engine;
+        engine.target = id;
+        engine.zone = view.settings.zone;
+        engine.role = view.heartbeat->role;
+        engine.isAvailable = isServing(view);
+        engines.push_back(std::move(engine));
+    }
+    held.planner.noteDemand(demand, steadyNow());
+    const std::optional<decisions::RoleChange> change
+        = held.planner.plan(policyOf(roles), engines, steadyNow());
+    if (change)
+        issue(pool.id, held, members.at(change->target), change->role);
+}
+
+void Controller::issue(const PoolId& pool, HeldShard& held, const TargetView& view, EngineRole role)
+{
+    const std::optional<control::Order> order = held.shard.issue(view.settings.id, role);
+    if (!order)
+        return;
+    telemetry::logInfo("control", "Order issued.",
+        { { "target", view.settings.id.text() }, { "role", std::string(toText(role)) } });
+    m_router.mailbox().send(view.settings.mailbox, protocol::OrderHint { pool });
+}
+
+} // namespace citronspoke::entry
--- /dev/null
+++ b/apps/entry/Request.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "decisions/Decisions.h"
+#include "protocol/Protocol.h"
+#include "settings/Settings.h"
+#include "transport/Transport.h"
+
+#include <set>
+
+namespace citronspoke::entry {
+
+/** A caller's request, checked and ready to be routed. */
+struct CallerRequest {
+    transport::HttpExchangePointer exchange;
+    settings::DeploymentPointer deployment;
+    PoolId pool;
+    ModelId model;
+    settings::Tier tier;
+    bool isStreaming = false;
+    /** All but attempt, resumeFrom and config is final. */
+    protocol::Submit submit;
+    /** Chained hashes of the prompt's pieces. */
+    std::vector<uint64_t> pieces;
+};
+
+/** A caller that comes back for a stream that another entry, or this one, had begun. */
+struct AttachRequest {
+    transport::HttpExchangePointer exchange;
+    OrganisationId organisation;
+    RequestId request;
+    TargetId target;
+    uint32_t fromOffset = 0;
+    bool isChat = false;
+};
+
+/** One request while this entry holds it. */
+struct Request {
+    CallerRequest caller;
+    bool isAttached = false;
+    TargetId target;
+    Incarnation incarnation;
+    AttemptNumber attempt;
+    uint32_t attemptsMade = 0;
+    uint32_t resends = 0;
+    bool isAccepted = false;
+    /** Attempts that were sent and not proved to be not run. */
+    std::set<AttemptNumber> unproven;
+    SteadyTime sentAt;
+    /** When to send again after a refusal; none while an attempt is out. */
+    std::optional<SteadyTime> retryAt;
+    std::optional<TargetId> preferredTarget;
+    std::set<TargetId> avoided;
+    std::optional<RefusalReason> lastRefusal;
+
+    bool isStreamBegun = false;
+    uint32_t nextOffset = 0;
+    std::string text;
+    /** Chunks that came early, by offset. */
+    std::map<uint32_t, std::string> early;
+    std::optional<protocol::Final> answer;
+    std::optional<SteadyTime> gapSince;
+    SteadyTime receivedAt;
+    SteadyTime firstTokenAt;
+
+    const RequestId& id() const noexcept { return caller.submit.request; }
+    bool isIdempotent() const noexcept { return caller.submit.key.empty(); }
+    bool isTrial() const noexcept { return caller.submit.workClass == WorkClass::Trial; }
+    bool isServiceCall() const noexcept
+    {
+        return caller.submit.kind == protocol::WorkKind::ServiceCall;
+    }
+    ExecutionState execution() const noexcept
+    {
+        return unproven.empty() ? ExecutionState::NotRun : ExecutionState::MayHaveRun;
+    }
+};
+
+} // namespace citronspoke::entry
--- /dev/null
+++ b/apps/entry/Router.cpp
@@ -0,0 +1,720 @@
+#include "Router.h"
+
+#include "telemetry/Telemetry.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace citronspoke::entry {
+
+namespace {
+
+    using telemetry::EventKind;
+
+    constexpr size_t EventCapacity = 65536;
+    constexpr Milliseconds TickInterval { 20 };
+    constexpr Milliseconds HelloInterval { 2000 };
+    constexpr Milliseconds PublishInterval { 250 };
+    /** A longer gap between ticks means that this process itself stood still. */
+    constexpr Milliseconds OwnPause { 400 };
+    constexpr Milliseconds AcceptTimeout { 400 };
+    constexpr uint32_t ResendsBeforeElsewhere = 2;
+    constexpr Milliseconds GapTimeout { 150 };
+    constexpr Milliseconds RetryDelay { 100 };
+    constexpr Milliseconds NotOwnerDelay { 300 };
+    constexpr Milliseconds RetryAfterFailure { 500 };
+    constexpr uint32_t FleetBurstFactor = 10;
+    constexpr size_t PrefixesKept = 20000;
+    constexpr uint32_t PieceTokens = 1000;
+    const OrganisationId WholeFleet { "" };
+
+    decisions::RoutingPolicy policyOf(const settings::RoutingSettings& routing)
+    {
+        switch (routing.kind) {
+        case settings::RoutingKind::RoundRobin:
+            return decisions::RoundRobin {};
+        case settings::RoutingKind::LeastOutstanding:
+            return decisions::LeastOutstanding {};
+        case settings::RoutingKind::TwoChoices:
+            return decisions::TwoChoices {};
+        case settings::RoutingKind::EstimatedFinish:
+            break;
+        }
+        return decisions::EstimatedFinish { routing.otherZoneCost, routing.prefixSaving };
+    }
+
+} // namespace
+
+Router::Router(const settings::EntrySettings& settings, control::ConfigHolder& config)
+    : m_settings(settings)
+    , m_self(settings.process.id)
+    , m_config(config)
+    , m_events(EventCapacity)
+    , m_targets(m_self, settings.process.zone)
+{
+}
+
+Router::~Router() { stop(); }
+
+void Router::start()
+{
+    m_mailbox = std::make_unique<transport::Mailbox>(m_settings.process.mailbox,
+        [this](protocol::Message message) { post(std::move(message)); });
+    m_exchange = std::make_unique<ConfigExchange>(m_config, *m_mailbox);
+    m_lastTick = steadyNow();
+    m_duty.emplace("router", [this](const std::stop_token& token) { run(token); });
+}
+
+void Router::stop()
+{
+    if (!m_duty)
+        return;
+    m_events.close();
+    m_duty.reset();
+    m_mailbox.reset();
+}
+
+void Router::post(RouterEvent event)
+{
+    if (m_events.tryPush(std::move(event)))
+        return;
+    telemetry::count("events_dropped");
+    if (const auto* caller = std::get_if<CallerRequest>(&event)) {
+        const Problem problem { RefusalReason::NoCapacity, ExecutionState::NotRun,
+            RetryAfterFailure, {} };
+        caller->exchange->respond(errorResponse(problem, caller->submit.request));
+    }
+}
+
+std::shared_ptr<const FleetSnapshot> Router::snapshot() const
+{
+    std::lock_guard lock(m_publishMutex);
+    return m_snapshot;
+}
+
+std::string Router::status() const
+{
+    std::lock_guard lock(m_publishMutex);
+    return m_status;
+}
+
+void Router::run(const std::stop_token&)
+{
+    std::deque<RouterEvent> batch;
+    while (m_events.popAll(batch, TickInterval)) {
+        tick();
+        for (RouterEvent& event : batch)
+            std::visit([this](auto& body) { on(body); }, event);
+        for (const RequestId& id : m_ended)
+            m_requests.erase(id);
+        m_ended.clear();
+        m_requestCount = m_requests.size();
+    }
+}
+
+void Router::tick()
+{
+    const SteadyTime now = steadyNow();
+    const SteadyTime::duration gap = now - m_lastTick;
+    m_lastTick = now;
+    if (gap > OwnPause) {
+        m_targets.forgivePause(gap);
+        telemetry::logWarning("router", "This process stood still.",
+            { { "ms", std::to_string(std::chrono::duration_cast<Milliseconds>(gap).count()) } });
+    }
+    if (m_config.revision() > m_adopted)
+        adoptConfiguration();
+    if (now >= m_nextHello)
+        sayHello();
+    for (const TargetId& target : m_targets.findSilent(now))
+        targetLost(target, "silent");
+    const UnixMillis wallNow = unixNow();
+    for (auto& [id, request] : m_requests)
+        checkTimers(request, now, wallNow);
+    if (now >= m_nextPublish)
+        publish();
+}
+
+void Router::adoptConfiguration()
+{
+    const settings::DeploymentPointer deployment = m_config.current();
+    m_adopted = deployment->revision;
+    m_targets.configure(*deployment);
+    m_policy = policyOf(deployment->routing);
+    m_retryBudgets.clear();
+    m_nextHello = steadyNow();
+    sayHello();
+}
+
+void Router::sayHello()
+{
+    m_nextHello = steadyNow() + jittered(HelloInterval);
+    protocol::Hello hello;
+    hello.entry = m_self;
+    hello.address = m_mailbox->address();
+    hello.operatorAddress = m_settings.process.operatorAddress;
+    hello.config = m_config.revision();
+    hello.verdicts = verdicts();
+    for (const auto& [id, view] : m_targets.targets())
+        m_mailbox->send(view.settings.mailbox, hello);
+    if (m_targets.targets().empty()) {
+        for (const std::string& seed : m_settings.seeds)
+            m_mailbox->send(PeerAddress(seed), hello);
+    }
+}
+
+std::vector<protocol::CrashVerdict> Router::verdicts() const
+{
+    std::vector<protocol::CrashVerdict> list;
+    for (const auto& [fingerprint, record] : m_ledger.records(unixNow()))
+        list.push_back({ fingerprint, record.crashes, record.crashes > 1, record.expires });
+    return list;
+}
+
+void Router::publish()
+{
+    m_nextPublish = steadyNow() + PublishInterval;
+    auto snapshot = std::make_shared<FleetSnapshot>();
+    snapshot->targets = m_targets.targets();
+    nlohmann::json targets = nlohmann::json::object();
+    for (const auto& [id, view] : snapshot->targets) {
+        targets[id.text()] = { { "eligible", view.isEligible() }, { "suspected", view.isSuspected },
+            { "outstanding", view.outstanding },
+            { "state", view.heartbeat ? toText(view.heartbeat->state) : "unheard" },
+            { "role", view.heartbeat ? toText(view.heartbeat->role) : "unknown" } };
+    }
+    const nlohmann::json status { { "id", m_self.text() }, { "requests", m_requests.size() },
+        { "config", m_config.revision().value() }, { "leaving", m_isLeaving.load() },
+        { "targets", targets } };
+    std::lock_guard lock(m_publishMutex);
+    m_snapshot = std::move(snapshot);
+    m_status = status.dump();
+}
+
+void Router::on(protocol::Message& message)
+{
+    std::visit([this](auto& body) { receive(body); }, message);
+}
+
+void Router::on(VmStatesRead& event) { m_targets.noteVmStates(event.states); }
+
+Request* Router::find(const RequestId& id)
+{
+    auto found = m_requests.find(id);
+    return found == m_requests.end() ? nullptr : &found->second;
+}
+
+decisions::RetryBudget& Router::retryBudget(const OrganisationId& organisation)
+{
+    auto found = m_retryBudgets.find(organisation);
+    if (found == m_retryBudgets.end()) {
+        const settings::LimitSettings limits = m_config.current()->limits;
+        const bool isFleet = organisation == WholeFleet;
+        const uint32_t burst = limits.retryBurst * (isFleet ? FleetBurstFactor : 1);
+        found
+            = m_retryBudgets.emplace(organisation, decisions::RetryBudget(limits.retryShare, burst))
+                  .first;
+    }
+    return found->second;
+}
+
+void Router::on(CallerRequest& caller)
+{
+    const RequestId id = caller.submit.request;
+    Request& request = m_requests[id];
+    request.caller = std::move(caller);
+    request.receivedAt = steadyNow();
+    m_requestCount = m_requests.size();
+    telemetry::record(EventKind::RequestReceived, id, {});
+    request.caller.exchange->onGone([this, id] { post(CallerGone { id }); });
+    if (!admit(request))
+        return;
+    telemetry::record(EventKind::RequestAdmitted, id, {});
+    retryBudget(request.caller.submit.organisation).noteRequest();
+    retryBudget(WholeFleet).noteRequest();
+    dispatch(request);
+}
+
+bool Router::admit(Request& request)
+{
+    const protocol::Submit& submit = request.caller.submit;
+    Problem problem;
+    if (m_isLeaving) {
+        problem.reason = RefusalReason::Leaving;
+        problem.retryAfter = RetryDelay;
+    }
+    const bool isConvicted
+        = m_ledger.suspicion(submit.fingerprint, unixNow()) == decisions::Suspicion::Convicted;
+    if (isConvicted)
+        problem.reason = RefusalReason::Quarantined;
+    if (problem.reason == RefusalReason::None) {
+        const settings::Tier& tier = request.caller.tier;
+        const decisions::LimitShare share = decisions::divideLimit(
+            tier.concurrentRequests, tier.tokensPerMinute, m_targets.entryCount());
+        const std::optional<Milliseconds> wait = m_limiters[submit.organisation].tryAdmit(
+            share, submit.promptTokens + submit.outputTokens, steadyNow());
+        if (!wait)
+            return true;
+        problem.reason = RefusalReason::LimitExceeded;
+        problem.retryAfter = *wait;
+    }
+    telemetry::record(
+        EventKind::RequestRefused, request.id(), {}, std::string(toText(problem.reason)));
+    telemetry::count("refused", { { "reason", std::string(toText(problem.reason)) } });
+    request.caller.exchange->respond(errorResponse(problem, request.id()));
+    m_ended.push_back(request.id());
+    return false;
+}
+
+void Router::on(AttachRequest& attach)
+{
+    const TargetView* view = m_targets.find(attach.target);
+    if (!view || find(attach.request)) {
+        Problem problem;
+        problem.reason = RefusalReason::UnknownRequest;
+        problem.execution = ExecutionState::MayHaveRun;
+        return attach.exchange->respond(errorResponse(problem, attach.request));
+    }
+    Request& request = m_requests[attach.request];
+    request.isAttached = true;
+    request.isAccepted = true;
+    request.caller.exchange = attach.exchange;
+    request.caller.deployment = m_config.current();
+    request.caller.isStreaming = true;
+    request.caller.submit.request = attach.request;
+    request.caller.submit.organisation = attach.organisation;
+    request.caller.submit.kind
+        = attach.isChat ? protocol::WorkKind::ChatCompletion : protocol::WorkKind::Completion;
+    request.target = attach.target;
+    request.nextOffset = attach.fromOffset;
+    request.receivedAt = steadyNow();
+    request.sentAt = steadyNow();
+    request.unproven.insert(request.attempt);
+    m_requestCount = m_requests.size();
+    const RequestId id = attach.request;
+    attach.exchange->onGone([this, id] { post(CallerGone { id }); });
+    m_mailbox->send(view->settings.mailbox,
+        protocol::Attach { id, attach.organisation, m_mailbox->address(), attach.fromOffset });
+}
+
+void Router::on(CallerGone& gone)
+{
+    Request* request = find(gone.request);
+    if (!request)
+        return;
+    telemetry::record(EventKind::CallerGone, gone.request, request->target);
+    telemetry::count("callers_gone");
+    if (const TargetView* view = m_targets.find(request->target))
+        m_mailbox->send(
+            view->settings.mailbox, protocol::Cancel { gone.request, request->attempt });
+    detach(*request);
+}
+
+// A call that may not be repeated goes to the target whose agent most likely owns the key's
+// journal shard, so that repeats meet at one agent.
+std::optional<TargetId> Router::journalTarget(const Request& request) const
+{
+    if (request.preferredTarget) {
+        const TargetView* preferred = m_targets.find(*request.preferredTarget);
+        if (preferred && preferred->isEligible())
+            return request.preferredTarget;
+    }
+    const PoolId& pool = request.caller.pool;
+    const uint32_t shards = request.caller.deployment->pools.at(pool).journalShards;
+    const uint64_t shard = stableHash(request.caller.submit.key.text()) % shards;
+    std::optional<TargetId> best;
+    uint64_t bestRank = 0;
+    for (const auto& [id, view] : m_targets.targets()) {
+        const bool isAvoided = request.avoided.contains(id);
+        if (view.settings.pool != pool || !view.isEligible() || isAvoided)
+            continue;
+        const uint64_t rank = stableHash(std::to_string(shard) + "/" + id.text());
+        if (!best || rank > bestRank) {
+            best = id;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+TargetId Router::warmTarget(const Request& request, uint32_t& warmTokens) const
+{
+    const std::vector<uint64_t>& pieces = request.caller.pieces;
+    for (size_t count = pieces.size(); count > 0; --count) {
+        auto found = m_prefixes.find(pieces[count - 1]);
+        if (found == m_prefixes.end())
+            continue;
+        warmTokens = static_cast<uint32_t>(count) * PieceTokens;
+        return found->second;
+    }
+    return {};
+}
+
+void Router::rememberPrefix(const Request& request)
+{
+    for (const uint64_t piece : request.caller.pieces) {
+        if (m_prefixes.insert_or_assign(piece, request.target).second)
+            m_prefixOrder.push_back(piece);
+    }
+    while (m_prefixOrder.size() > PrefixesKept) {
+        m_prefixes.erase(m_prefixOrder.front());
+        m_prefixOrder.pop_front();
+    }
+}
+
+void Router::dispatch(Request& request)
+{
+    request.retryAt.reset();
+    const protocol::Submit& submit = request.caller.submit;
+    if (!request.isIdempotent()) {
+        const std::optional<TargetId> target = journalTarget(request);
+        if (target)
+            return send(request, *target);
+        request.avoided.clear();
+        return retryLater(request, NotOwnerDelay);
+    }
+    uint32_t warmTokens = 0;
+    const TargetId warm = warmTarget(request, warmTokens);
+    const std::span<const decisions::Candidate> candidates
+        = m_targets.candidates(request.caller.pool, request.avoided, warm, warmTokens);
+    decisions::Work work;
+    work.workClass = submit.workClass;
+    work.promptTokens = submit.promptTokens + request.nextOffset;
+    work.outputTokens = submit.outputTokens - std::min(submit.outputTokens, request.nextOffset);
+    work.timeLeft = Milliseconds(submit.deadline.value() - unixNow().value());
+    const decisions::RoutingDecision decision = decisions::chooseTarget(m_policy, candidates, work);
+    if (const auto* route = std::get_if<decisions::RouteTo>(&decision))
+        return send(request, candidates[route->candidate].target);
+    const decisions::Refuse& refuse = std::get<decisions::Refuse>(decision);
+    // What has begun is not given up because it may be late, and a target may come back soon.
+    const bool goesOn = request.nextOffset > 0 || request.attemptsMade > 0
+        || refuse.reason == RefusalReason::NoTarget;
+    if (goesOn && candidates.empty())
+        return retryLater(request, RetryDelay);
+    if (goesOn) {
+        decisions::RoutingPolicy fallback = decisions::LeastOutstanding {};
+        const decisions::RoutingDecision any = decisions::chooseTarget(fallback, candidates, work);
+        return send(request, candidates[std::get<decisions::RouteTo>(any).candidate].target);
+    }
+    fail(request, { refuse.reason, request.execution(), refuse.retryAfter, {} });
+}
+
+void Router::send(Request& request, const TargetId& target)
+{
+    request.attempt = request.attempt.next();
+    request.attemptsMade += 1;
+    request.resends = 0;
+    request.target = target;
+    const TargetView* view = m_targets.find(target);
+    request.incarnation = view->heartbeat->incarnation;
+    request.unproven.insert(request.attempt);
+    m_targets.noteSent(target, request.caller.submit);
+    rememberPrefix(request);
+    telemetry::record(EventKind::AttemptSent, request.id(), target,
+        "attempt " + std::to_string(request.attempt.value()));
+    resend(request);
+    failurePoint("entry.after_submit");
+}
+
+void Router::resend(Request& request)
+{
+    request.isAccepted = false;
+    request.sentAt = steadyNow();
+    protocol::Submit submit = request.caller.submit;
+    submit.attempt = request.attempt;
+    submit.resumeFrom = request.nextOffset;
+    submit.config = m_adopted;
+    m_mailbox->send(m_targets.find(request.target)->settings.mailbox, std::move(submit));
+}
+
+void Router::retryLater(Request& request, Milliseconds delay)
+{
+    request.retryAt = steadyNow() + jittered(delay);
+}
+
+bool Router::mayRetry(Request& request, bool costsRetry)
+{
+    if (!costsRetry)
+        return true;
+    const settings::LimitSettings& limits = request.caller.deployment->limits;
+    if (request.attemptsMade >= limits.attemptsPerRequest)
+        return false;
+    const bool isAllowed = retryBudget(request.caller.submit.organisation).trySpend()
+        && retryBudget(WholeFleet).trySpend();
+    if (isAllowed)
+        telemetry::count("retried");
+    return isAllowed;
+}
+
+void Router::abandonAttempt(Request& request, RefusalReason reason, bool costsRetry)
+{
+    request.lastRefusal = reason;
+    m_targets.noteEnded(request.target);
+    request.avoided.insert(request.target);
+    if (const TargetView* view = m_targets.find(request.target); view && request.isIdempotent())
+        m_mailbox->send(view->settings.mailbox, protocol::Cancel { request.id(), request.attempt });
+    if (request.isAttached)
+        return fail(request, { reason, ExecutionState::MayHaveRun, RetryAfterFailure, {} });
+    if (!mayRetry(request, costsRetry)) {
+        const RefusalReason final
+            = request.isIdempotent() && costsRetry ? RefusalReason::RetryBudgetSpent : reason;
+        return fail(request, { final, request.execution(), RetryAfterFailure, {} });
+    }
+    if (request.nextOffset > 0)
+        telemetry::count("resumed");
+    dispatch(request);
+}
+
+void Router::targetLost(const TargetId& target, std::string_view why)
+{
+    telemetry::record(EventKind::PeerSuspected, {}, target, std::string(why));
+    telemetry::logWarning(
+        "router", "Target lost.", { { "target", target.text() }, { "why", std::string(why) } });
+    for (auto& [id, request] : m_requests) {
+        const bool isConcerned
+            = request.caller.exchange && request.target == target && !request.retryAt;
+        if (isConcerned)
+            abandonAttempt(request, RefusalReason::TargetFailed, true);
+    }
+}
+
+void Router::checkTimers(Request& request, SteadyTime now, UnixMillis wallNow)
+{
+    if (!request.caller.exchange)
+        return;
+    const bool isLate = request.caller.submit.deadline < wallNow && !request.isAttached;
+    if (isLate && request.nextOffset == 0) {
+        if (const TargetView* view = m_targets.find(request.target))
+            m_mailbox->send(
+                view->settings.mailbox, protocol::Cancel { request.id(), request.attempt });
+        const RefusalReason reason = request.retryAt && request.lastRefusal
+            ? *request.lastRefusal
+            : RefusalReason::DeadlinePassed;
+        return fail(request, { reason, request.execution(), RetryAfterFailure, {} });
+    }
+    if (request.retryAt) {
+        if (now >= *request.retryAt)
+            dispatch(request);
+        return;
+    }
+    if (!request.isAccepted && now - request.sentAt > AcceptTimeout) {
+        request.resends += 1;
+        if (!request.isIdempotent() && request.resends <= ResendsBeforeElsewhere)
+            return resend(request);
+        return abandonAttempt(request, RefusalReason::TargetFailed, true);
+    }
+    if (request.gapSince && now - *request.gapSince > GapTimeout) {
+        request.gapSince = now;
+        telemetry::record(EventKind::ChunkGap, request.id(), request.target);
+        if (const TargetView* view = m_targets.find(request.target))
+            m_mailbox->send(view->settings.mailbox,
+                protocol::Attach { request.id(), request.caller.submit.organisation,
+                    m_mailbox->address(), request.nextOffset });
+    }
+}
+
+void Router::receive(protocol::Heartbeat& heartbeat)
+{
+    m_exchange->noteRevision(heartbeat.address, heartbeat.config);
+    for (const protocol::CrashVerdict& verdict : heartbeat.verdicts)
+        m_ledger.merge(verdict.fingerprint, { verdict.crashes, verdict.expires });
+    const TargetId target = heartbeat.target;
+    if (m_targets.noteHeartbeat(std::move(heartbeat), steadyNow()))
+        targetLost(target, "restarted");
+}
+
+void Router::receive(protocol::Accepted& accepted)
+{
+    Request* request = find(accepted.request);
+    if (request && request->attempt == accepted.attempt)
+        request->isAccepted = true;
+}
+
+void Router::receive(protocol::Chunk& chunk)
+{
+    Request* request = find(chunk.request);
+    if (!request || !request->caller.exchange)
+        return;
+    const bool isCurrent = request->isAttached || chunk.attempt == request->attempt;
+    if (!isCurrent || chunk.offset < request->nextOffset)
+        return;
+    request->isAccepted = true;
+    if (chunk.offset > request->nextOffset) {
+        request->early[chunk.offset] = std::move(chunk.text);
+        if (!request->gapSince)
+            request->gapSince = steadyNow();
+        return;
+    }
+    deliver(*request, chunk.offset, chunk.text);
+    deliverEarly(*request);
+    completeIfWhole(*request);
+}
+
+void Router::deliver(Request& request, uint32_t offset, std::string_view text)
+{
+    if (request.firstTokenAt == SteadyTime {}) {
+        request.firstTokenAt = steadyNow();
+        telemetry::observe("time_to_first_token", request.firstTokenAt - request.receivedAt);
+    }
+    request.nextOffset = offset + 1;
+    if (!request.caller.isStreaming) {
+        request.text.append(text);
+        return;
+    }
+    if (!request.isStreamBegun) {
+        request.isStreamBegun = true;
+        transport::HttpResponse head;
+        head.headers["content-type"] = "text/event-stream";
+        head.headers["cache-control"] = "no-store";
+        head.headers["X-Request-Id"] = request.id().text();
+        request.caller.exchange->beginStream(head);
+    }
+    request.caller.exchange->write(tokenEvent(request, offset, text));
+    failurePoint("entry.after_chunk");
+}
+
+void Router::deliverEarly(Request& request)
+{
+    while (!request.early.empty()) {
+        const auto first = request.early.begin();
+        if (first->first > request.nextOffset)
+            return;
+        if (first->first == request.nextOffset)
+            deliver(request, first->first, first->second);
+        request.early.erase(first);
+    }
+    request.gapSince.reset();
+}
+
+void Router::receive(protocol::Final& final)
+{
+    Request* request = find(final.request);
+    if (!request || !request->caller.exchange)
+        return;
+    if (!request->isAttached && final.attempt != request->attempt)
+        return;
+    request->isAccepted = true;
+    request->answer = std::move(final);
+    completeIfWhole(*request);
+}
+
+void Router::completeIfWhole(Request& request)
+{
+    if (!request.answer || !request.caller.exchange)
+        return;
+    const bool isWhole
+        = request.isServiceCall() || request.nextOffset >= request.answer->totalTokens;
+    if (isWhole)
+        return finish(request);
+    if (!request.gapSince)
+        request.gapSince = steadyNow();
+}
+
+void Router::receive(protocol::Refusal& refusal)
+{
+    Request* request = find(refusal.request);
+    if (!request || !request->caller.exchange || request->retryAt)
+        return;
+    if (request->isAttached)
+        return fail(*request, { refusal.reason, refusal.execution, RetryAfterFailure, {} });
+    if (refusal.attempt != request->attempt)
+        return;
+    request->lastRefusal = refusal.reason;
+    if (refusal.execution == ExecutionState::NotRun)
+        request->unproven.erase(refusal.attempt);
+    telemetry::record(EventKind::AttemptRefused, refusal.request, request->target,
+        std::string(toText(refusal.reason)));
+    m_targets.noteEnded(request->target);
+    const Milliseconds retryAfter(refusal.retryAfterMs);
+    switch (refusal.reason) {
+    case RefusalReason::Leaving:
+        m_targets.noteState(request->target, ServingState::Leaving);
+        request->avoided.insert(request->target);
+        return dispatch(*request);
+    case RefusalReason::StaleConfiguration:
+        if (const TargetView* view = m_targets.find(request->target))
+            m_exchange->noteRevision(view->settings.mailbox, refusal.config);
+        return retryLater(*request, RetryDelay);
+    case RefusalReason::NotOwner:
+        request->preferredTarget = refusal.owner;
+        return retryLater(*request, NotOwnerDelay);
+    case RefusalReason::TargetFailed: {
+        const bool isConvicted = m_ledger.suspicion(request->caller.submit.fingerprint, unixNow())
+            == decisions::Suspicion::Convicted;
+        if (isConvicted)
+            return fail(*request,
+                { RefusalReason::Quarantined, ExecutionState::MayHaveRun, Milliseconds(0), {} });
+        const bool isRepeatable
+            = request->isIdempotent() || refusal.execution == ExecutionState::NotRun;
+        if (!isRepeatable)
+            break;
+        request->avoided.insert(request->target);
+        if (!mayRetry(*request, true))
+            return fail(*request,
+                { RefusalReason::RetryBudgetSpent, request->execution(), RetryAfterFailure, {} });
+        if (request->nextOffset > 0)
+            telemetry::count("resumed");
+        return dispatch(*request);
+    }
+    default:
+        break;
+    }
+    const ExecutionState execution
+        = refusal.execution == ExecutionState::NotRun ? request->execution() : refusal.execution;
+    fail(*request, { refusal.reason, execution, retryAfter, {} });
+}
+
+void Router::receive(protocol::ConfigPull& pull) { m_exchange->handle(pull); }
+void Router::receive(protocol::ConfigPush& push) { m_exchange->handle(push); }
+
+void Router::finish(Request& request)
+{
+    telemetry::record(EventKind::RequestFinished, request.id(), request.target);
+    reportStream(request, "completed");
+    if (request.caller.isStreaming && !request.isServiceCall()) {
+        if (!request.isStreamBegun) {
+            transport::HttpResponse head;
+            head.headers["content-type"] = "text/event-stream";
+            request.caller.exchange->beginStream(head);
+        }
+        request.caller.exchange->write(endEvents(request));
+        request.caller.exchange->endStream();
+    } else {
+        request.caller.exchange->respond(wholeResponse(request));
+    }
+    m_targets.noteEnded(request.target);
+    detach(request);
+}
+
+void Router::fail(Request& request, Problem problem)
+{
+    telemetry::record(EventKind::RequestRefused, request.id(), request.target,
+        std::string(toText(problem.reason)));
+    telemetry::count("refused", { { "reason", std::string(toText(problem.reason)) } });
+    reportStream(request, "failed");
+    if (request.isStreamBegun) {
+        request.caller.exchange->write(errorEvent(problem, request.id()));
+        request.caller.exchange->endStream();
+    } else {
+        request.caller.exchange->respond(errorResponse(problem, request.id()));
+    }
+    detach(request);
+}
+
+void Router::reportStream(Request& request, std::string_view outcome)
+{
+    telemetry::count("requests",
+        { { "outcome", std::string(outcome) },
+            { "class", std::string(toText(request.caller.submit.workClass)) } });
+    telemetry::observe("request_duration", steadyNow() - request.receivedAt);
+}
+
+void Router::detach(Request& request)
+{
+    if (!request.isAttached)
+        m_limiters[request.caller.submit.organisation].noteFinished();
+    request.caller.exchange.reset();
+    m_ended.push_back(request.id());
+}
+
+} // namespace citronspoke::entry
--- /dev/null
+++ b/apps/entry/Router.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "CallerApi.h"
+#include "ConfigExchange.h"
+#include "TargetTable.h"
+
+#include <atomic>
+
+namespace citronspoke::entry {
+
+struct CallerGone {
+    RequestId request;
+};
+struct VmStatesRead {
+    std::map<TargetId, platform::VmState> states;
+};
+using RouterEvent
+    = std::variant<protocol::Message, CallerRequest, AttachRequest, CallerGone, VmStatesRead>;
+
+/** What the controller needs to know of the targets. */
+struct FleetSnapshot {
+    std::map<TargetId, TargetView> targets;
+};
+
+/**
+ * Admits requests, sends them to agents, retries and resumes them elsewhere, and assembles the
+ * answers. All state belongs to one duty.
+ */
+class Router final : public Service {
+public:
+    Router(const settings::EntrySettings& settings, control::ConfigHolder& config);
+    ~Router() override;
+
+    std::string_view name() const noexcept override { return "router"; }
+    /** @throws transport::ListenFailed when the mailbox's port is taken. */
+    void start() override;
+    void stop() override;
+
+    /** Any thread may post. */
+    void post(RouterEvent event);
+    std::shared_ptr<const FleetSnapshot> snapshot() const;
+    std::string status() const;
+    transport::Mailbox& mailbox() { return *m_mailbox; }
+    /** New requests are refused from now on. */
+    void leave() noexcept { m_isLeaving = true; }
+    bool isEmpty() const noexcept { return m_requestCount == 0; }
+
+private:
+    void run(const std::stop_token& token);
+    void tick();
+    void sayHello();
+    void publish();
+
+    void on(protocol::Message& message);
+    void on(CallerRequest& caller);
+    void on(AttachRequest& attach);
+    void on(CallerGone& gone);
+    void on(VmStatesRead& event);
+
+    void receive(protocol::Heartbeat& heartbeat);
+    void receive(protocol::Accepted& accepted);
+    void receive(protocol::Chunk& chunk);
+    void receive(protocol::Final& final);
+    void receive(protocol::Refusal& refusal);
+    void receive(protocol::ConfigPull& pull);
+    void receive(protocol::ConfigPush& push);
+    template <typename Other> void receive(Other&) { }
+
+    bool admit(Request& request);
+    /** Routes and sends the request's next attempt, or ends it. */
+    void dispatch(Request& request);
+    void send(Request& request, const TargetId& target);
+    void resend(Request& request);
+    std::optional<TargetId> journalTarget(const Request& request) const;
+    /** Ends the present attempt and tries elsewhere if that is allowed. */
+    void abandonAttempt(Request& request, RefusalReason reason, bool costsRetry);
+    bool mayRetry(Request& request, bool costsRetry);
+    void retryLater(Request& request, Milliseconds delay);
+    void checkTimers(Request& request, SteadyTime now, UnixMillis wallNow);
+    void targetLost(const TargetId& target, std::string_view why);
+
+    void deliver(Request& request, uint32_t offset, std::string_view text);
+    void deliverEarly(Request& request);
+    void completeIfWhole(Request& request);
+    void finish(Request& request);
+    void fail(Request& request, Problem problem);
+    void detach(Request& request);
+    void reportStream(Request& request, std::string_view outcome);
+
+    TargetId warmTarget(const Request& request, uint32_t& warmTokens) const;
+    void rememberPrefix(const Request& request);
+    Request* find(const RequestId& id);
+    decisions::RetryBudget& retryBudget(const OrganisationId& organisation);
+    std::vector<protocol::CrashVerdict> verdicts() const;
+    void adoptConfiguration();
+
+    settings::EntrySettings m_settings;
+    EntryId m_self;
+    control::ConfigHolder& m_config;
+    Ring<RouterEvent> m_events;
+    std::unique_ptr<transport::Mailbox> m_mailbox;
+    std::unique_ptr<ConfigExchange> m_exchange;
+    std::optional<Duty> m_duty;
+
+    TargetTable m_targets;
+    ConfigRevision m_adopted;
+    decisions::RoutingPolicy m_policy;
+    std::map<RequestId, Request> m_requests;
+    std::vector<RequestId> m_ended;
+    std::map<OrganisationId, decisions::Limiter> m_limiters;
+    std::map<OrganisationId, decisions::RetryBudget> m_retryBudgets;
+    decisions::CrashLedger m_ledger;
+    /** Which target read a prompt piece last, with the oldest at the front. */
+    std::map<uint64_t, TargetId> m_prefixes;
+    std::deque<uint64_t> m_prefixOrder;
+    SteadyTime m_lastTick;
+    SteadyTime m_nextHello;
+    SteadyTime m_nextPublish;
+    std::atomic<bool> m_isLeaving { false };
+    std::atomic<size_t> m_requestCount { 0 };
+    mutable std::mutex m_publishMutex;
+    std::shared_ptr<const FleetSnapshot> m_snapshot = std::make_shared<FleetSnapshot>();
+    std::string m_status = "{}";
+};
+
+} // namespace citronspoke::entry
--- /dev/null
+++ b/apps/entry/TargetTable.cpp
@@ -0,0 +1,175 @@
+#include "TargetTable.h"
+
+#include <algorithm>
+
+namespace citronspoke::entry {
+
+namespace {
+
+    /** Heartbeats come twice a second; three in a row may be lost. */
+    constexpr Milliseconds SuspicionAfter { 1800 };
+
+} // namespace
+
+TargetTable::TargetTable(EntryId self, ZoneId zone)
+    : m_self(std::move(self))
+    , m_zone(std::move(zone))
+{
+}
+
+// Each entry watches a stable subset of every pool, drawn by rendezvous hashing, so that the
+// heartbeats of a large fleet do not all go to every entry.
+void TargetTable::configure(const settings::Deployment& deployment)
+{
+    std::map<PoolId, std::vector<std::pair<uint64_t, TargetId>>> byPool;
+    for (const auto& [id, target] : deployment.targets) {
+        const uint64_t rank = stableHash(m_self.text() + "/" + id.text());
+        byPool[target.pool].emplace_back(rank, id);
+    }
+    std::map<TargetId, TargetView> next;
+    for (auto& [pool, ranked] : byPool) {
+        std::sort(ranked.begin(), ranked.end());
+        if (ranked.size() > deployment.routing.subset)
+            ranked.resize(deployment.routing.subset);
+        for (const auto& [rank, id] : ranked) {
+            auto known = m_targets.find(id);
+            TargetView& view = next[id];
+            if (known != m_targets.end())
+                view = std::move(known->second);
+            view.settings = deployment.targets.at(id);
+        }
+    }
+    m_targets = std::move(next);
+}
+
+bool TargetTable::noteHeartbeat(protocol::Heartbeat heartbeat, SteadyTime now)
+{
+    auto found = m_targets.find(heartbeat.target);
+    if (found == m_targets.end())
+        return false;
+    TargetView& view = found->second;
+    const bool isNewLife = view.heartbeat && view.heartbeat->incarnation != heartbeat.incarnation;
+    view.heartbeat = std::move(heartbeat);
+    view.lastHeard = now;
+    view.isSuspected = false;
+    view.sentPaying = 0;
+    view.sentTrial = 0;
+    view.sentPrefillTokens = 0;
+    view.sentDecodeTokens = 0;
+    return isNewLife;
+}
+
+void TargetTable::noteVmStates(const std::map<TargetId, platform::VmState>& states)
+{
+    for (auto& [id, view] : m_targets) {
+        auto found = states.find(id);
+        view.isVmLeaving = found != states.end() && found->second != platform::VmState::Live;
+    }
+}
+
+std::vector<TargetId> TargetTable::findSilent(SteadyTime now)
+{
+    std::vector<TargetId> silent;
+    for (auto& [id, view] : m_targets) {
+        const bool isSilent = view.heartbeat && now - view.lastHeard > SuspicionAfter;
+        if (!isSilent || view.isSuspected)
+            continue;
+        view.isSuspected = true;
+        silent.push_back(id);
+    }
+    return silent;
+}
+
+void TargetTable::forgivePause(std::chrono::nanoseconds pause)
+{
+    for (auto& [id, view] : m_targets)
+        view.lastHeard += std::chrono::duration_cast<SteadyTime::duration>(pause);
+}
+
+void TargetTable::noteSent(const TargetId& target, const protocol::Submit& submit)
+{
+    TargetView& view = m_targets[target];
+    view.outstanding += 1;
+    if (submit.workClass == WorkClass::Trial) {
+        view.sentTrial += 1;
+        return;
+    }
+    view.sentPaying += 1;
+    view.sentPrefillTokens += submit.promptTokens;
+    view.sentDecodeTokens += submit.outputTokens;
+}
+
+void TargetTable::noteEnded(const TargetId& target)
+{
+    auto found = m_targets.find(target);
+    if (found != m_targets.end() && found->second.outstanding > 0)
+        found->second.outstanding -= 1;
+}
+
+void TargetTable::noteState(const TargetId& target, ServingState state)
+{
+    auto found = m_targets.find(target);
+    if (found != m_targets.end() && found->second.heartbeat)
+        found->second.heartbeat->state = state;
+}
+
+decisions::Candidate TargetTable::candidateOf(const TargetView& view) const
+{
+    const protocol::TargetLoad& load = view.heartbeat->load;
+    decisions::Candidate candidate;
+    candidate.target = view.settings.id;
+    candidate.isOtherZone = view.settings.zone != m_zone;
+    candidate.role = view.heartbeat->role;
+    candidate.slots = std::max(1U, load.slots);
+    candidate.runningPaying = load.runningPaying;
+    candidate.runningTrial = load.runningTrial;
+    candidate.queuedPaying = load.queuedPaying;
+    candidate.queuedTrial = load.queuedTrial;
+    candidate.prefillBacklogTokens = load.prefillBacklogTokens;
+    candidate.decodeBacklogTokens = load.decodeBacklogTokens;
+    candidate.prefillTokensPerSecond = load.prefillTokensPerSecond;
+    candidate.decodeStepMs = load.decodeStepMs;
+    candidate.sentPaying = view.sentPaying;
+    candidate.sentTrial = view.sentTrial;
+    candidate.sentPrefillTokens = view.sentPrefillTokens;
+    candidate.sentDecodeTokens = view.sentDecodeTokens;
+    candidate.outstanding = view.outstanding;
+    return candidate;
+}
+
+std::span<const decisions::Candidate> TargetTable::candidates(const PoolId& pool,
+    const std::set<TargetId>& avoided, const TargetId& warm, uint32_t warmTokens)
+{
+    m_candidates.clear();
+    for (const bool includeAvoided : { false, true }) {
+        for (const auto& [id, view] : m_targets) {
+            const bool isAvoided = avoided.contains(id);
+            if (view.settings.pool != pool || !view.isEligible() || isAvoided != includeAvoided)
+                continue;
+            m_candidates.push_back(candidateOf(view));
+            if (id == warm)
+                m_candidates.back().warmTokens = warmTokens;
+        }
+        if (!m_candidates.empty())
+            break;
+    }
+    return m_candidates;
+}
+
+const TargetView* TargetTable::find(const TargetId& target) const
+{
+    auto found = m_targets.find(target);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+uint32_t TargetTable::entryCount() const
+{
+    uint32_t count = 1;
+    for (const auto& [id, view] : m_targets) {
+        if (view.heartbeat && !view.isSuspected)
+            count = std::max(count, view.heartbeat->entries);
+    }
+    return count;
+}
+
+} // namespace citronspoke::entry
--- /dev/null
+++ b/cmake/CitronspokeTargets.cmake
@@ -0,0 +1,21 @@
+# Declares the static library NAME from src/*.cpp, with its public header folder, and its
+# Criterion tests from tests/*.cpp. Further arguments are the libraries it depends on.
+function(citronspoke_library NAME)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+  add_library(${NAME} STATIC ${sources})
+  target_include_directories(${NAME} PUBLIC include PRIVATE src)
+  target_link_libraries(${NAME} PUBLIC ${ARGN})
+  file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
+  if(tests)
+    citronspoke_test(${NAME}-tests ${tests})
+    target_include_directories(${NAME}-tests PRIVATE src)
+    target_link_libraries(${NAME}-tests PRIVATE ${NAME})
+  endif()
+endfunction()
+
+# Declares a Criterion test program and registers it with ctest.
+function(citronspoke_test NAME)
+  add_executable(${NAME} ${ARGN})
+  target_link_libraries(${NAME} PRIVATE PkgConfig::CRITERION)
+  add_test(NAME ${NAME} COMMAND ${NAME} -j4)
+endfunction()
--- /dev/null
+++ b/libs/decisions/src/CrashLedger.cpp
@@ -0,0 +1,63 @@
+#include "decisions/Decisions.h"
+
+#include <algorithm>
+
+namespace citronspoke::decisions {
+
+namespace {
+
+    constexpr uint32_t CrashesToConvict = 2;
+    constexpr int64_t RecordLifetimeMs = 10 * 60 * 1000;
+
+} // namespace
+
+void CrashLedger::noteCrash(std::span<const uint64_t> running, UnixMillis now)
+{
+    const UnixMillis expires(now.value() + RecordLifetimeMs);
+    std::vector<uint64_t> suspects;
+    for (const uint64_t fingerprint : running) {
+        if (suspicion(fingerprint, now) != Suspicion::None)
+            suspects.push_back(fingerprint);
+    }
+    // A known suspect explains the crash; those that ran beside it stay innocent.
+    const std::span<const uint64_t> blamed = suspects.empty() ? running : suspects;
+    for (const uint64_t fingerprint : blamed) {
+        Record& record = m_records[fingerprint];
+        record.crashes += 1;
+        record.expires = expires;
+    }
+}
+
+void CrashLedger::noteFinished(uint64_t fingerprint)
+{
+    auto found = m_records.find(fingerprint);
+    if (found != m_records.end() && found->second.crashes < CrashesToConvict)
+        m_records.erase(found);
+}
+
+Suspicion CrashLedger::suspicion(uint64_t fingerprint, UnixMillis now) const
+{
+    auto found = m_records.find(fingerprint);
+    if (found == m_records.end() || found->second.expires < now)
+        return Suspicion::None;
+    return found->second.crashes >= CrashesToConvict ? Suspicion::Convicted : Suspicion::Suspect;
+}
+
+void CrashLedger::merge(uint64_t fingerprint, const Record& record)
+{
+    Record& known = m_records[fingerprint];
+    known.crashes = std::max(known.crashes, record.crashes);
+    known.expires = std::max(known.expires, record.expires);
+}
+
+std::map<uint64_t, CrashLedger::Record> CrashLedger::records(UnixMillis now) const
+{
+    std::map<uint64_t, Record> current;
+    for (const auto& [fingerprint, record] : m_records) {
+        if (record.expires >= now)
+            current[fingerprint] = record;
+    }
+    return current;
+}
+
+} // namespace citronspoke::decisions
--- /dev/null
+++ b/libs/decisions/src/Routing.cpp
@@ -0,0 +1,131 @@
+#include "decisions/Decisions.h"
+
+#include <algorithm>
+
+namespace citronspoke::decisions {
+
+namespace {
+
+    constexpr double MsPerSecond = 1000;
+    /** A request is refused early when the estimate exceeds the time left by this factor. */
+    constexpr double RefusalMargin = 1.0;
+    constexpr Milliseconds ShortestRetryAfter { 200 };
+
+    struct Backlog {
+        double requests = 0;
+        double prefillTokens = 0;
+        double decodeTokens = 0;
+    };
+
+    // Trial work is paused for paying work, so only paying work is ahead of a paying request.
+    Backlog backlogAhead(const Candidate& candidate, WorkClass workClass)
+    {
+        Backlog ahead;
+        ahead.requests = candidate.runningPaying + candidate.queuedPaying + candidate.sentPaying;
+        if (workClass == WorkClass::Trial)
+            ahead.requests += candidate.runningTrial + candidate.queuedTrial + candidate.sentTrial;
+        ahead.prefillTokens
+            = static_cast<double>(candidate.prefillBacklogTokens + candidate.sentPrefillTokens);
+        ahead.decodeTokens
+            = static_cast<double>(candidate.decodeBacklogTokens + candidate.sentDecodeTokens);
+        return ahead;
+    }
+
+    double slotWaitMs(const Candidate& candidate, const Backlog& ahead)
+    {
+        const double slots = candidate.slots;
+        if (ahead.requests < slots)
+            return 0;
+        const double meanTokens = ahead.decodeTokens / std::max(1.0, ahead.requests);
+        const double waiting = ahead.requests - slots + 1;
+        return waiting / slots * meanTokens * candidate.decodeStepMs;
+    }
+
+    double loadOf(const Candidate& candidate) { return static_cast<double>(candidate.outstanding); }
+
+    RoutingDecision choose(
+        EstimatedFinish& policy, std::span<const Candidate> candidates, const Work& work)
+    {
+        RouteTo best { 0, Milliseconds::max() };
+        for (size_t index = 0; index < candidates.size(); ++index) {
+            const Milliseconds finish = estimateFinish(policy, candidates[index], work);
+            if (finish < best.estimatedFinish)
+                best = { index, finish };
+        }
+        const double limit = static_cast<double>(work.timeLeft.count()) * RefusalMargin;
+        if (static_cast<double>(best.estimatedFinish.count()) <= limit)
+            return best;
+        Candidate idle = candidates[best.candidate];
+        idle.slots = std::max(1U, idle.slots);
+        idle.runningPaying = idle.queuedPaying = idle.sentPaying = 0;
+        idle.runningTrial = idle.queuedTrial = idle.sentTrial = 0;
+        idle.prefillBacklogTokens = idle.sentPrefillTokens = 0;
+        idle.decodeBacklogTokens = idle.sentDecodeTokens = 0;
+        if (estimateFinish(policy, idle, work) > work.timeLeft)
+            return Refuse { RefusalReason::DeadlineTooShort, Milliseconds(0) };
+        const Milliseconds excess = best.estimatedFinish - work.timeLeft;
+        return Refuse { RefusalReason::NoCapacity, std::max(ShortestRetryAfter, excess) };
+    }
+
+    RoutingDecision choose(RoundRobin& policy, std::span<const Candidate> candidates, const Work&)
+    {
+        return RouteTo { policy.next++ % candidates.size(), Milliseconds(0) };
+    }
+
+    RoutingDecision choose(
+        LeastOutstanding& policy, std::span<const Candidate> candidates, const Work&)
+    {
+        // Ties go around, or all entries would send to the first target.
+        const size_t offset = policy.next++;
+        size_t best = offset % candidates.size();
+        for (size_t step = 1; step < candidates.size(); ++step) {
+            const size_t index = (offset + step) % candidates.size();
+            if (loadOf(candidates[index]) < loadOf(candidates[best]))
+                best = index;
+        }
+        return RouteTo { best, Milliseconds(0) };
+    }
+
+    size_t drawIndex(uint64_t& state, size_t bound)
+    {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        return state % bound;
+    }
+
+    RoutingDecision choose(TwoChoices& policy, std::span<const Candidate> candidates, const Work&)
+    {
+        const size_t first = drawIndex(policy.randomState, candidates.size());
+        const size_t second = drawIndex(policy.randomState, candidates.size());
+        const bool isFirstLighter = loadOf(candidates[first]) <= loadOf(candidates[second]);
+        return RouteTo { isFirstLighter ? first : second, Milliseconds(0) };
+    }
+
+} // namespace
+
+Milliseconds estimateFinish(
+    const EstimatedFinish& policy, const Candidate& candidate, const Work& work)
+{
+    const Backlog ahead = backlogAhead(candidate, work.workClass);
+    const double warm = std::min(candidate.warmTokens, work.promptTokens) * policy.prefixSaving;
+    const double promptTokens = ahead.prefillTokens + work.promptTokens - warm;
+    const double prefillMs
+        = promptTokens / std::max(1.0, candidate.prefillTokensPerSecond) * MsPerSecond;
+    const double decodeMs = work.outputTokens * candidate.decodeStepMs;
+    const double zoneMs
+        = candidate.isOtherZone ? static_cast<double>(policy.otherZoneCost.count()) : 0;
+    const double total = slotWaitMs(candidate, ahead) + prefillMs + decodeMs + zoneMs;
+    return Milliseconds(static_cast<int64_t>(total));
+}
+
+RoutingDecision chooseTarget(
+    RoutingPolicy& policy, std::span<const Candidate> candidates, const Work& work)
+{
+    if (candidates.empty())
+        return Refuse { RefusalReason::NoTarget, ShortestRetryAfter };
+    return std::visit(
+        [&](auto& kind) -> RoutingDecision { return choose(kind, candidates, work); }, policy);
+}
+
+} // namespace citronspoke::decisions
--- /dev/null
+++ b/libs/telemetry/src/Logging.cpp
@@ -0,0 +1,53 @@
+#include "telemetry/Telemetry.h"
+
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace citronspoke::telemetry {
+
+namespace {
+
+    std::string line(std::string_view part, std::string_view sentence, Fields fields)
+    {
+        std::string text;
+        text.append("[").append(part).append("] ").append(sentence);
+        for (const Field& field : fields)
+            text.append(" ").append(field.key).append("=").append(field.value);
+        return text;
+    }
+
+} // namespace
+
+void configureLogging(bool verbose)
+{
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::Format, "%datetime{%H:%m:%s.%g} %level %msg");
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configuration.set(el::Level::Debug, el::ConfigurationType::Enabled, verbose ? "true" : "false");
+    el::Loggers::reconfigureAllLoggers(configuration);
+}
+
+void logDebug(std::string_view part, std::string_view sentence, Fields fields)
+{
+    LOG(DEBUG) << line(part, sentence, fields);
+}
+
+void logInfo(std::string_view part, std::string_view sentence, Fields fields)
+{
+    LOG(INFO) << line(part, sentence, fields);
+}
+
+void logWarning(std::string_view part, std::string_view sentence, Fields fields)
+{
+    LOG(WARNING) << line(part, sentence, fields);
+}
+
+void logError(std::string_view part, std::string_view sentence, Fields fields)
+{
+    LOG(ERROR) << line(part, sentence, fields);
+}
+
+} // namespace citronspoke::telemetry
--- /dev/null
+++ b/tools/localfleet/LocalFleet.cpp
@@ -0,0 +1,345 @@
+#include "LocalFleet.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace citronspoke::localfleet {
+
+namespace {
+
+    using nlohmann::json;
+
+    // Ports below the range from which the system takes those of outgoing connections.
+    constexpr uint16_t FirstPort = 20000;
+    constexpr uint16_t PortSpan = 12000;
+    constexpr Milliseconds StartLimit { 20000 };
+    constexpr Milliseconds CallLimit { 3000 };
+    constexpr Milliseconds PollInterval { 50 };
+    constexpr Milliseconds EndLimit { 15000 };
+
+    bool isFree(uint16_t port)
+    {
+        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool bound
+            = bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+        close(socket);
+        return bound;
+    }
+
+    std::string programPath(const std::string& program)
+    {
+        const std::filesystem::path self = std::filesystem::read_symlink("/proc/self/exe");
+        return (self.parent_path() / program).string();
+    }
+
+    json askStatus(const std::string& url)
+    {
+        transport::HttpRequest request;
+        request.target = url + "/status";
+        try {
+            return json::parse(transport::callHttp(request, CallLimit).body, nullptr, false);
+        } catch (const transport::HttpFailed&) {
+            return nullptr;
+        }
+    }
+
+    void post(const std::string& url, const std::string& body)
+    {
+        transport::HttpRequest request;
+        request.method = "POST";
+        request.target = url;
+        request.body = body;
+        transport::callHttp(request, CallLimit);
+    }
+
+    template <typename Condition> bool waitFor(Milliseconds limit, const Condition& condition)
+    {
+        const SteadyTime end = steadyNow() + limit;
+        while (!condition()) {
+            if (steadyNow() > end)
+                return false;
+            std::this_thread::sleep_for(PollInterval);
+        }
+        return true;
+    }
+
+    std::string inQuotes(const std::string& text) { return "\"" + text + "\""; }
+
+} // namespace
+
+LocalFleet::LocalFleet(FleetOptions options)
+    : m_options(std::move(options))
+    , m_files(settings::readFolder(m_options.deploymentFolder))
+    , m_nextPort(static_cast<uint16_t>(FirstPort + stableHash(std::to_string(getpid())) % PortSpan))
+{
+    std::filesystem::create_directories(m_options.workFolder);
+    m_files.insert(m_files.end(), m_options.extraFiles.begin(), m_options.extraFiles.end());
+    m_deployment = settings::parseDeployment(m_files);
+    if (!m_options.targets.empty()) {
+        std::erase_if(m_deployment.targets, [this](const auto& entry) {
+            return std::find(m_options.targets.begin(), m_options.targets.end(), entry.first.text())
+                == m_options.targets.end();
+        });
+    }
+    pickAddresses();
+    writeProcessSettings();
+}
+
+std::string LocalFleet::pickAddress()
+{
+    do {
+        m_nextPort = m_nextPort + 1 >= FirstPort + PortSpan ? FirstPort : m_nextPort + 1;
+    } while (!isFree(m_nextPort));
+    return "127.0.0.1:" + std::to_string(m_nextPort);
+}
+
+std::vector<std::string> LocalFleet::entryNames() const
+{
+    std::vector<std::string> names;
+    for (size_t number = 1; number <= m_options.entries; ++number)
+        names.push_back("entry:" + std::to_string(number));
+    return names;
+}
+
+void LocalFleet::pickAddresses()
+{
+    m_addresses["platform/front"] = pickAddress();
+    for (const std::string& name : entryNames()) {
+        for (const char* purpose : { "/mailbox", "/operator", "/callers", "/front" })
+            m_addresses[name + purpose] = pickAddress();
+    }
+    for (const auto& [id, target] : m_deployment.targets) {
+        m_addresses["target:" + id.text() + "/http"] = pickAddress();
+        for (const char* purpose : { "/mailbox", "/operator", "/front" })
+            m_addresses["agent:" + id.text() + purpose] = pickAddress();
+    }
+}
+
+void LocalFleet::writeFile(const std::string& name, const std::string& text) const
+{
+    const std::filesystem::path path = std::filesystem::path(m_options.workFolder) / name;
+    std::filesystem::create_directories(path.parent_path());
+    std::ofstream(path) << text;
+}
+
+std::string LocalFleet::commonSettings(const std::string& name, const std::string& zone) const
+{
+    const std::string id = name.substr(name.find(':') + 1);
+    const bool isEntry = name.starts_with("entry:");
+    const std::string front = "http://" + m_addresses.at(name + "/front");
+    return "id = " + inQuotes(isEntry ? "entry-" + id : id) + "\nzone = " + inQuotes(zone)
+        + "\nmailbox = " + inQuotes("tcp://" + m_addresses.at(name + "/mailbox"))
+        + "\noperator = " + inQuotes(m_addresses.at(name + "/operator"))
+        + "\nstore = " + inQuotes(front) + "\nvm_list = " + inQuotes(front) + "\n";
+}
+
+void LocalFleet::writeProcessSettings()
+{
+    std::vector<std::string> zones;
+    for (const auto& [id, zone] : m_deployment.zones)
+        zones.push_back(id.text());
+    std::string seeds;
+    for (const auto& [id, target] : m_deployment.targets) {
+        seeds += seeds.empty() ? "" : ", ";
+        seeds += inQuotes("tcp://" + m_addresses.at("agent:" + id.text() + "/mailbox"));
+    }
+    size_t number = 0;
+    for (const std::string& name : entryNames()) {
+        writeFile(name + ".toml",
+            commonSettings(name, zones[number++ % zones.size()]) + "callers = "
+                + inQuotes(m_addresses.at(name + "/callers")) + "\nseeds = [" + seeds + "]\n");
+    }
+    for (const auto& [id, target] : m_deployment.targets) {
+        const TargetKind kind = m_deployment.pools.at(target.pool).kind;
+        const std::string name = "agent:" + id.text();
+        writeFile(name + ".toml",
+            commonSettings(name, target.zone.text())
+                + "kind = " + inQuotes(std::string(citronspoke::toText(kind))) + "\ntarget = "
+                + inQuotes("http://" + m_addresses.at("target:" + id.text() + "/http"))
+                + "\nengine_checks_fencing = " + (m_options.engineChecksFencing ? "true" : "false")
+                + "\n");
+    }
+}
+
+std::string LocalFleet::localTargets() const
+{
+    std::string text = "# Addresses on this machine.\n";
+    for (const auto& [id, target] : m_deployment.targets) {
+        const std::string name = "agent:" + id.text();
+        text += "[target." + id.text()
+            + "]\nmailbox = " + inQuotes("tcp://" + m_addresses.at(name + "/mailbox"))
+            + "\noperator = " + inQuotes(m_addresses.at(name + "/operator")) + "\n";
+    }
+    return text;
+}
+
+std::string LocalFleet::writeConfiguration(const std::vector<settings::SourceFile>& extra)
+{
+    const std::string folder = m_options.workFolder + "/configuration";
+    std::filesystem::remove_all(folder);
+    std::vector<settings::SourceFile> files = m_files;
+    files.insert(files.end(), extra.begin(), extra.end());
+    files.push_back({ "80-local.toml", localTargets() });
+    for (const settings::SourceFile& file : files)
+        writeFile("configuration/" + file.name, file.text);
+    return folder;
+}
+
+int LocalFleet::applyConfiguration(const std::vector<settings::SourceFile>& extra)
+{
+    const std::string folder = writeConfiguration(extra);
+    ChildProcess tool = startTool({ "config", "apply", folder }, "citronspokectl.log");
+    return tool.waitForExit(StartLimit).value_or(-1);
+}
+
+ChildProcess LocalFleet::startTool(std::vector<std::string> arguments, const std::string& log) const
+{
+    arguments.push_back("--store=http://" + m_addresses.at("platform/front"));
+    return { programPath("citronspokectl"), arguments, m_options.workFolder + "/" + log };
+}
+
+void LocalFleet::launch(
+    const std::string& name, const std::string& program, std::vector<std::string> arguments)
+{
+    auto stop = m_options.stopAt.find(name);
+    if (stop != m_options.stopAt.end())
+        arguments.push_back("--stop_at=" + stop->second);
+    m_processes.insert_or_assign(name,
+        ChildProcess(programPath(program), arguments, m_options.workFolder + "/" + name + ".log"));
+}
+
+void LocalFleet::start(const std::string& name)
+{
+    const std::string kind = name.substr(0, name.find(':'));
+    const std::string id = name.substr(name.find(':') + 1);
+    const std::string settingsFlag = "--settings=" + m_options.workFolder + "/" + name + ".toml";
+    if (kind == "platform") {
+        std::string fronts;
+        for (const auto& [key, address] : m_addresses) {
+            if (key.ends_with("/front"))
+                fronts += (fronts.empty() ? "" : ",") + address;
+        }
+        return launch(name, "fake-platform", { "--listen=" + fronts });
+    }
+    if (kind == "entry")
+        return launch(name, "citronspoke-entry", { settingsFlag });
+    if (kind == "agent")
+        return launch(name, "citronspoke-agent", { settingsFlag });
+    const PoolId& pool = m_deployment.targets.at(TargetId(id)).pool;
+    std::vector<std::string> flags { "--listen=" + m_addresses.at(name + "/http") };
+    if (m_deployment.pools.at(pool).kind == TargetKind::Application)
+        return launch(name, "fake-service", flags);
+    flags.insert(flags.end(), m_options.engineFlags.begin(), m_options.engineFlags.end());
+    flags.push_back(m_options.engineChecksFencing ? "--check_fencing" : "--nocheck_fencing");
+    launch(name, "fake-engine", flags);
+}
+
+void LocalFleet::startPlatform()
+{
+    start("platform");
+    const bool isUp = waitFor(StartLimit, [this] {
+        transport::HttpRequest request;
+        request.target = platformUrl("platform") + "/v1/vms";
+        try {
+            transport::callHttp(request, CallLimit);
+            return true;
+        } catch (const transport::HttpFailed&) {
+            return false;
+        }
+    });
+    if (!isUp)
+        throw FleetFailed("The platform's stand-in did not start.");
+}
+
+void LocalFleet::startAll()
+{
+    startPlatform();
+    if (applyConfiguration({}) != 0)
+        throw FleetFailed("The configuration was not accepted.");
+    for (const auto& [id, target] : m_deployment.targets) {
+        start("target:" + id.text());
+        start("agent:" + id.text());
+    }
+    for (const std::string& name : entryNames())
+        start(name);
+    if (!waitUntilEligible(targetCount(), StartLimit))
+        throw FleetFailed("Not all targets became eligible; see the logs.");
+}
+
+ChildProcess& LocalFleet::process(const std::string& name) { return m_processes.at(name); }
+
+bool LocalFleet::waitUntilEligible(size_t targets, Milliseconds limit) const
+{
+    return waitFor(limit, [&] {
+        for (const std::string& name : entryNames()) {
+            const json status = askStatus(operatorUrl(name));
+            if (!status.is_object())
+                return false;
+            size_t eligible = 0;
+            for (const auto& [id, target] : status.at("targets").items())
+                eligible += target.at("eligible").get<bool>() ? 1 : 0;
+            if (eligible != targets)
+                return false;
+        }
+        return true;
+    });
+}
+
+void LocalFleet::stopAll()
+{
+    for (const char* kind : { "entry", "agent", "target", "platform" }) {
+        for (auto& [name, process] : m_processes) {
+            if (name.starts_with(kind) && process.isRunning())
+                ::kill(process.pid(), SIGTERM);
+        }
+        for (auto& [name, process] : m_processes) {
+            if (name.starts_with(kind) && process.isRunning() && !process.waitForExit(EndLimit))
+                process.kill();
+        }
+    }
+}
+
+std::string LocalFleet::callerUrl(size_t entry) const
+{
+    return "http://" + m_addresses.at("entry:" + std::to_string(entry) + "/callers");
+}
+
+std::string LocalFleet::operatorUrl(const std::string& name) const
+{
+    return "http://" + m_addresses.at(name + "/operator");
+}
+
+std::string LocalFleet::targetUrl(const std::string& name) const
+{
+    return "http://" + m_addresses.at("target:" + name + "/http");
+}
+
+std::string LocalFleet::platformUrl(const std::string& name) const
+{
+    return "http://" + m_addresses.at(name + "/front");
+}
+
+void LocalFleet::setFaults(const std::string& name, const std::string& faults) const
+{
+    json body = json::parse(faults);
+    body["all"] = name == "all";
+    post(platformUrl(name == "all" ? "platform" : name) + "/faults", body.dump());
+}
+
+void LocalFleet::setVm(const std::string& target, const std::string& state) const
+{
+    post(platformUrl("platform") + "/v1/vms",
+        json { { "name", target }, { "state", state } }.dump());
+}
+
+} // namespace citronspoke::localfleet
