--- a/apps/entry/Router.cpp
+++ b/apps/entry/Router.cpp
@@ -321,14 +321,13 @@
     }
     const PoolId& pool = request.caller.pool;
     const uint32_t shards = request.caller.deployment->pools.at(pool).journalShards;
-    const uint64_t shard = stableHash(request.caller.submit.key.text()) % shards;
     std::optional<TargetId> best;
     uint64_t bestRank = 0;
     for (const auto& [id, view] : m_targets.targets()) {
         const bool isAvoided = request.avoided.contains(id);
         if (view.settings.pool != pool || !view.isEligible() || isAvoided)
             continue;
-        const uint64_t rank = stableHash(std::to_string(shard) + "/" + id.text());
+        const uint64_t rank = decisions::journalRank(request.caller.submit.key, shards, id);
         if (!best || rank > bestRank) {
             best = id;
             bestRank = rank;
@@ -686,7 +685,7 @@
     detach(request);
 }
 
-void Router::fail(Request& request, Problem problem)
+void Router::fail(Request& request, const Problem& problem)
 {
     telemetry::record(EventKind::RequestRefused, request.id(), request.target,
         std::string(toText(problem.reason)));
--- a/apps/entry/Router.h
+++ b/apps/entry/Router.h
@@ -83,7 +83,7 @@
     void deliverEarly(Request& request);
     void completeIfWhole(Request& request);
     void finish(Request& request);
-    void fail(Request& request, Problem problem);
+    void fail(Request& request, const Problem& problem);
     void detach(Request& request);
     void reportStream(Request& request, std::string_view outcome);
 
--- a/fakes/engine/FakeEngine.cpp
+++ b/fakes/engine/FakeEngine.cpp
@@ -39,12 +39,6 @@
 
 } // namespace
 
-std::string tokenText(uint64_t promptHash, uint32_t offset)
-{
-    constexpr uint64_t Vocabulary = 9973;
-    return " t" + std::to_string((promptHash + offset) % Vocabulary);
-}
-
 FakeEngine::FakeEngine(EngineOptions options)
     : m_options(std::move(options))
     , m_batch(m_options.timing, m_options.slots, m_options.cacheTokens)
@@ -134,7 +128,7 @@
     m_streams[request.id] = { exchange, stableHash(prompt) };
     exchange->onGone([this, id = request.id] {
         std::lock_guard goneLock(m_mutex);
-        m_cancelled += m_streams.erase(id);
+        m_cancelled += static_cast<int64_t>(m_streams.erase(id));
         m_batch.remove(id);
     });
     m_batch.add(std::move(request));
--- a/fakes/engine/FakeEngine.h
+++ b/fakes/engine/FakeEngine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "BatchModel.h"
+#include "TokenText.h"
 #include "transport/Transport.h"
 
 #include <nlohmann/json.hpp>
@@ -18,9 +19,6 @@
     Milliseconds crashDuration { 1000 };
 };
 
-/** @return the text of token @p offset of the answer to @p prompt; the same on every engine. */
-std::string tokenText(uint64_t promptHash, uint32_t offset);
-
 /** A stand-in model engine: streams answers, takes orders and crashes on marked prompts. */
 class FakeEngine {
 public:
--- a/fakes/platform/FakeStore.cpp
+++ b/fakes/platform/FakeStore.cpp
@@ -90,7 +90,7 @@
     return { { "header", header() } };
 }
 
-void FakeStore::watch(const json& body, transport::HttpExchangePointer exchange)
+void FakeStore::watch(const json& body, const transport::HttpExchangePointer& exchange)
 {
     const json& request = body.at("create_request");
     const std::string key = decoded(request, "key");
--- a/fakes/platform/FakeStore.h
+++ b/fakes/platform/FakeStore.h
@@ -15,7 +15,7 @@
     nlohmann::json keepAlive(const nlohmann::json& body);
     nlohmann::json revoke(const nlohmann::json& body);
     /** Answers when the key's next change comes. */
-    void watch(const nlohmann::json& body, transport::HttpExchangePointer exchange);
+    void watch(const nlohmann::json& body, const transport::HttpExchangePointer& exchange);
     /** Removes the keys of lapsed leases. */
     void expireLeases();
 
--- a/libs/decisions/include/decisions/Decisions.h
+++ b/libs/decisions/include/decisions/Decisions.h
@@ -81,6 +81,12 @@
 /** Chooses a target among eligible candidates. Never allocates. */
 RoutingDecision chooseTarget(RoutingPolicy&, std::span<const Candidate>, const Work&);
 
+/**
+ * Ranks the targets for a journal shard; the same in every entry, so that calls with one key
+ * meet at one agent. The highest rank is asked first.
+ */
+uint64_t journalRank(const IdempotencyKey& key, uint32_t shards, const TargetId& target);
+
 /** Keeps retries to a share of the requests, so that a bad hour is not multiplied. */
 class RetryBudget {
 public:
--- a/libs/decisions/src/CrashLedger.cpp
+++ b/libs/decisions/src/CrashLedger.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     constexpr uint32_t CrashesToConvict = 2;
-    constexpr int64_t RecordLifetimeMs = 10 * 60 * 1000;
+    constexpr int64_t RecordLifetimeMs = 600000;
 
 } // namespace
 
--- a/libs/decisions/src/Routing.cpp
+++ b/libs/decisions/src/Routing.cpp
@@ -119,6 +119,12 @@
     return Milliseconds(static_cast<int64_t>(total));
 }
 
+uint64_t journalRank(const IdempotencyKey& key, uint32_t shards, const TargetId& target)
+{
+    const uint64_t shard = stableHash(key.text()) % shards;
+    return stableHash(std::to_string(shard) + "/" + target.text());
+}
+
 RoutingDecision chooseTarget(
     RoutingPolicy& policy, std::span<const Candidate> candidates, const Work& work)
 {
--- a/libs/journal/include/journal/Journal.h
+++ b/libs/journal/include/journal/Journal.h
@@ -66,9 +66,9 @@
 
     using BeginCallback = std::function<void(const BeginOutcome&)>;
     /** Commits that a call starts, or says why it may not. */
-    void begin(Call call, BeginCallback callback);
+    void begin(Call call, const BeginCallback& callback);
     /** Commits a result; @p stored is told whether it is in the store. */
-    void finish(const IdempotencyKey& key, Result result, std::function<void(bool)> stored);
+    void finish(const IdempotencyKey& key, Result result, const std::function<void(bool)>& stored);
     /** Takes a start back that was never handed over, so that the key may be used again. */
     void abandon(const IdempotencyKey& key);
 
--- a/libs/journal/src/Journal.cpp
+++ b/libs/journal/src/Journal.cpp
@@ -16,7 +16,7 @@
     /** Heads are rewritten whole, so older finished records move to segments. */
     constexpr size_t RecordsInHead = 200;
     constexpr size_t RecordsKeptInHead = 50;
-    constexpr size_t LargestStoredBody = 32 * 1024;
+    constexpr size_t LargestStoredBody = 32768;
     /** Each owner keeps to this many writes a second, whatever the number of calls. */
     constexpr double WritesPerSecond = 40;
     constexpr double WriteBurst = 20;
@@ -410,13 +410,14 @@
     m_implementation->duty.reset();
 }
 
-void Journal::begin(Call call, BeginCallback callback)
+void Journal::begin(Call call, const BeginCallback& callback)
 {
     if (!m_implementation->commands.tryPush(BeginCommand { std::move(call), callback }))
         callback(Unavailable {});
 }
 
-void Journal::finish(const IdempotencyKey& key, Result result, std::function<void(bool)> stored)
+void Journal::finish(
+    const IdempotencyKey& key, Result result, const std::function<void(bool)>& stored)
 {
     if (!m_implementation->commands.tryPush(FinishCommand { key, std::move(result), stored }))
         stored(false);
--- a/libs/settings/src/Deployment.cpp
+++ b/libs/settings/src/Deployment.cpp
@@ -191,9 +191,9 @@
 
         Reader section(std::string_view name) const
         {
-            static const toml::table Empty;
+            static const toml::table empty;
             const toml::table* table = m_document.root()[name].as_table();
-            return Reader(table ? *table : Empty);
+            return Reader(table ? *table : empty);
         }
 
         void readRouting()
--- a/libs/transport/src/HttpClient.cpp
+++ b/libs/transport/src/HttpClient.cpp
@@ -53,8 +53,11 @@
     HeaderList prepare(CURL* easy, const HttpRequest& request, DataCallback& onData)
     {
         curl_slist* list = curl_slist_append(nullptr, "Expect:");
-        for (const auto& [name, value] : request.headers)
-            list = curl_slist_append(list, (name + ": " + value).c_str());
+        for (const auto& [name, value] : request.headers) {
+            std::string line = name;
+            line.append(": ").append(value);
+            list = curl_slist_append(list, line.c_str());
+        }
         curl_easy_setopt(easy, CURLOPT_URL, request.target.c_str());
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
--- a/libs/transport/src/HttpServer.cpp
+++ b/libs/transport/src/HttpServer.cpp
@@ -15,6 +15,8 @@
     /** Tells exchanges when the connection that they came on is closed. */
     class ConnectionWatcher {
     public:
+        // RESTinio's name.
+        // NOLINTNEXTLINE(readability-identifier-naming)
         void state_changed(const restinio::connection_state::notice_t& notice) noexcept
         {
             if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
--- a/tools/localfleet/ChildProcess.cpp
+++ b/tools/localfleet/ChildProcess.cpp
@@ -48,6 +48,7 @@
     std::vector<std::string> texts { program };
     texts.insert(texts.end(), arguments.begin(), arguments.end());
     std::vector<char*> pointers;
+    pointers.reserve(texts.size() + 1);
     for (std::string& text : texts)
         pointers.push_back(text.data());
     pointers.push_back(nullptr);
--- a/tools/localfleet/LocalFleet.cpp
+++ b/tools/localfleet/LocalFleet.cpp
@@ -18,6 +18,9 @@
     // Ports below the range from which the system takes those of outgoing connections.
     constexpr uint16_t FirstPort = 20000;
     constexpr uint16_t PortSpan = 12000;
+    /** Fleets of processes with neighbouring ids take ports from different blocks. */
+    constexpr uint16_t PortBlock = 100;
+    constexpr std::string_view TargetsFile = "50-targets.toml";
     constexpr Milliseconds StartLimit { 20000 };
     constexpr Milliseconds CallLimit { 3000 };
     constexpr Milliseconds PollInterval { 50 };
@@ -80,11 +83,15 @@
 LocalFleet::LocalFleet(FleetOptions options)
     : m_options(std::move(options))
     , m_files(settings::readFolder(m_options.deploymentFolder))
-    , m_nextPort(static_cast<uint16_t>(FirstPort + stableHash(std::to_string(getpid())) % PortSpan))
+    , m_nextPort(
+          static_cast<uint16_t>(FirstPort + static_cast<size_t>(getpid()) * PortBlock % PortSpan))
 {
     std::filesystem::create_directories(m_options.workFolder);
+    // Targets that are not started must not be in the configuration either.
+    if (!m_options.targets.empty())
+        std::erase_if(m_files, [](const auto& file) { return file.name == TargetsFile; });
     m_files.insert(m_files.end(), m_options.extraFiles.begin(), m_options.extraFiles.end());
-    m_deployment = settings::parseDeployment(m_files);
+    m_deployment = settings::parseDeployment(settings::readFolder(m_options.deploymentFolder));
     if (!m_options.targets.empty()) {
         std::erase_if(m_deployment.targets, [this](const auto& entry) {
             return std::find(m_options.targets.begin(), m_options.targets.end(), entry.first.text())
@@ -151,7 +158,8 @@
     std::string seeds;
     for (const auto& [id, target] : m_deployment.targets) {
         seeds += seeds.empty() ? "" : ", ";
-        seeds += inQuotes("tcp://" + m_addresses.at("agent:" + id.text() + "/mailbox"));
+        const std::string name = "agent:" + id.text();
+        seeds.append(inQuotes("tcp://" + m_addresses.at(name + "/mailbox")));
     }
     size_t number = 0;
     for (const std::string& name : entryNames()) {
@@ -176,8 +184,9 @@
     std::string text = "# Addresses on this machine.\n";
     for (const auto& [id, target] : m_deployment.targets) {
         const std::string name = "agent:" + id.text();
-        text += "[target." + id.text()
-            + "]\nmailbox = " + inQuotes("tcp://" + m_addresses.at(name + "/mailbox"))
+        text += "[target." + id.text() + "]\npool = " + inQuotes(target.pool.text())
+            + "\nzone = " + inQuotes(target.zone.text())
+            + "\nmailbox = " + inQuotes("tcp://" + m_addresses.at(name + "/mailbox"))
             + "\noperator = " + inQuotes(m_addresses.at(name + "/operator")) + "\n";
     }
     return text;
@@ -185,7 +194,7 @@
 
 std::string LocalFleet::writeConfiguration(const std::vector<settings::SourceFile>& extra)
 {
-    const std::string folder = m_options.workFolder + "/configuration";
+    std::string folder = m_options.workFolder + "/configuration";
     std::filesystem::remove_all(folder);
     std::vector<settings::SourceFile> files = m_files;
     files.insert(files.end(), extra.begin(), extra.end());
@@ -212,8 +221,11 @@
     const std::string& name, const std::string& program, std::vector<std::string> arguments)
 {
     auto stop = m_options.stopAt.find(name);
-    if (stop != m_options.stopAt.end())
+    if (stop != m_options.stopAt.end()) {
         arguments.push_back("--stop_at=" + stop->second);
+        // A process that is started again runs without the failure point.
+        m_options.stopAt.erase(stop);
+    }
     m_processes.insert_or_assign(name,
         ChildProcess(programPath(program), arguments, m_options.workFolder + "/" + name + ".log"));
 }
@@ -261,7 +273,7 @@
         throw FleetFailed("The platform's stand-in did not start.");
 }
 
-void LocalFleet::startAll()
+void LocalFleet::startTargets()
 {
     startPlatform();
     if (applyConfiguration({}) != 0)
@@ -270,6 +282,11 @@
         start("target:" + id.text());
         start("agent:" + id.text());
     }
+}
+
+void LocalFleet::startAll()
+{
+    startTargets();
     for (const std::string& name : entryNames())
         start(name);
     if (!waitUntilEligible(targetCount(), StartLimit))
@@ -282,8 +299,10 @@
 {
     return waitFor(limit, [&] {
         for (const std::string& name : entryNames()) {
+            if (!m_processes.contains(name))
+                continue;
             const json status = askStatus(operatorUrl(name));
-            if (!status.is_object())
+            if (!status.is_object() || !status.contains("targets"))
                 return false;
             size_t eligible = 0;
             for (const auto& [id, target] : status.at("targets").items())
--- a/tools/localfleet/LocalFleet.h
+++ b/tools/localfleet/LocalFleet.h
@@ -33,11 +33,13 @@
     explicit LocalFleet(FleetOptions options);
 
     void startPlatform();
+    /** Starts the platform and all targets with their agents, and applies the configuration. */
+    void startTargets();
     /** Starts everything, applies the configuration and waits until all targets are eligible. */
     void startAll();
     void start(const std::string& name);
     ChildProcess& process(const std::string& name);
-    /** @return whether every entry finds so many targets eligible in time. */
+    /** @return whether every entry that was started finds so many targets eligible in time. */
     bool waitUntilEligible(size_t targets, Milliseconds limit) const;
     /** Asks every process to end, entries first; kills what does not end in time. */
     void stopAll();
