Judge engines of one role by their common speed

Each agent measures its engine's prompt speed on the work that it gets; one that read short prompts looked slow and got no long ones, so long prompts crowded on few engines. Change: an entry uses the mean speed of a pool's engines of the same role.

--- a/apps/agent/AgentCore.cpp
+++ b/apps/agent/AgentCore.cpp
@@ -16,11 +16,9 @@
     constexpr Milliseconds TickInterval { 20 };
     constexpr Milliseconds HeartbeatInterval { 500 };
     constexpr std::chrono::seconds SubscriptionLifetime { 10 };
-    constexpr std::chrono::seconds FinishedJobLifetime { 30 };
     /** Running streams are moved to other engines when a planned change has waited this long. */
     constexpr Milliseconds ChangePatience { 3000 };
     constexpr Milliseconds SuspicionFromSubmit { 600000 };
-    constexpr size_t TombstonesKept = 20000;
     constexpr Milliseconds RetryWhenLeaving { 100 };
     constexpr Milliseconds RetryWhenJournalAway { 1000 };
     /** Streams that end together within this time ended by one crash. */
@@ -96,12 +94,9 @@
 void AgentCore::tick()
 {
     const SteadyTime now = steadyNow();
-    std::erase_if(m_jobs, [now](const auto& entry) {
-        const Job& job = entry.second;
-        return job.state == JobState::Done && now - job.ended > FinishedJobLifetime;
-    });
+    m_jobs.forgetEnded(now);
     const UnixMillis wallNow = unixNow();
-    for (auto& [request, job] : m_jobs) {
+    for (auto& [request, job] : m_jobs.all()) {
         if (job.state == JobState::Queued && job.submit.deadline < wallNow)
             refuse(job, RefusalReason::DeadlinePassed, ExecutionState::NotRun);
     }
@@ -185,26 +180,22 @@
 void AgentCore::receive(protocol::Submit& submit)
 {
     m_exchange->noteRevision(submit.replyTo, submit.config);
-    auto tombstone = m_tombstones.find(submit.request);
-    if (tombstone != m_tombstones.end() && submit.attempt <= tombstone->second)
+    if (m_tombstones.covers(submit.request, submit.attempt))
         return;
-    auto known = m_jobs.find(submit.request);
-    if (known != m_jobs.end() && known->second.submit.attempt >= submit.attempt) {
+    Job* known = m_jobs.find(submit.request);
+    if (known && known->submit.attempt >= submit.attempt) {
         m_mailbox->send(submit.replyTo, protocol::Accepted { submit.request, submit.attempt });
         return;
     }
-    if (known != m_jobs.end() && known->second.state != JobState::Done)
-        return continueHere(known->second, submit);
+    if (known && known->state != JobState::Done)
+        return continueHere(*known, submit);
     if (!submit.crashes.empty()) {
         const UnixMillis expires(unixNow().value() + SuspicionFromSubmit.count());
         m_ledger.merge(
             submit.fingerprint, { { submit.crashes.begin(), submit.crashes.end() }, expires });
     }
     const RefusalReason reason = reasonToRefuse(submit);
-    Job& job = m_jobs[submit.request];
-    job = {};
-    job.submit = std::move(submit);
-    job.arrived = steadyNow();
+    Job& job = m_jobs.renew(std::move(submit));
     if (reason != RefusalReason::None)
         return refuse(job, reason, ExecutionState::NotRun, RetryWhenLeaving);
     failurePoint("agent.before_accept");
@@ -231,11 +222,11 @@
 
 void AgentCore::receive(protocol::Cancel& cancel)
 {
-    addTombstone(cancel.request, cancel.attempt);
-    auto found = m_jobs.find(cancel.request);
-    if (found == m_jobs.end() || found->second.submit.attempt > cancel.attempt)
+    m_tombstones.add(cancel.request, cancel.attempt);
+    Job* found = m_jobs.find(cancel.request);
+    if (!found || found->submit.attempt > cancel.attempt)
         return;
-    Job& job = found->second;
+    Job& job = *found;
     // A call that may not be repeated goes on, so that its result reaches the journal.
     const bool isBound = !job.submit.key.empty() && job.state != JobState::Done;
     if (isBound || job.state == JobState::Done)
@@ -243,27 +234,13 @@
     if (job.state == JobState::Running)
         m_target->cancel(job.stream);
     telemetry::record(EventKind::AttemptCancelled, cancel.request, m_self);
-    m_jobs.erase(found);
-}
-
-// A late or doubled message must never start an attempt that was said not to run.
-void AgentCore::addTombstone(const RequestId& request, AttemptNumber attempt)
-{
-    if (m_tombstones.emplace(request, attempt).second)
-        m_tombstoneOrder.push_back(request);
-    AttemptNumber& newest = m_tombstones[request];
-    newest = std::max(newest, attempt);
-    if (m_tombstoneOrder.size() > TombstonesKept) {
-        m_tombstones.erase(m_tombstoneOrder.front());
-        m_tombstoneOrder.pop_front();
-    }
+    m_jobs.erase(cancel.request);
 }
 
 void AgentCore::receive(protocol::Attach& attach)
 {
-    auto found = m_jobs.find(attach.request);
-    const bool isKnown
-        = found != m_jobs.end() && found->second.submit.organisation == attach.organisation;
+    Job* found = m_jobs.find(attach.request);
+    const bool isKnown = found && found->submit.organisation == attach.organisation;
     if (!isKnown) {
         protocol::Refusal refusal;
         refusal.request = attach.request;
@@ -272,8 +249,8 @@
         m_mailbox->send(attach.replyTo, refusal);
         return;
     }
-    found->second.submit.replyTo = attach.replyTo;
-    sendFrom(found->second, attach.fromOffset);
+    found->submit.replyTo = attach.replyTo;
+    sendFrom(*found, attach.fromOffset);
 }
 
 void AgentCore::sendFrom(const Job& job, uint32_t offset)
@@ -293,45 +270,13 @@
     }
 }
 
-size_t AgentCore::countActive() const
-{
-    return static_cast<size_t>(std::count_if(
-        m_jobs.begin(), m_jobs.end(), [](const auto& entry) { return entry.second.isActive(); }));
-}
-
-// Paying work goes before trial work, and each class by its deadline, so that long work that
-// can wait is not starved: its deadline comes nearer.
-Job* AgentCore::nextQueued()
-{
-    const UnixMillis now = unixNow();
-    bool hasSuspect = false;
-    for (const auto& [request, job] : m_jobs) {
-        const bool isSuspect
-            = m_ledger.suspicion(job.submit.fingerprint, now) == decisions::Suspicion::Suspect;
-        hasSuspect = hasSuspect || (isSuspect && job.isActive());
-    }
-    Job* best = nullptr;
-    for (auto& [request, job] : m_jobs) {
-        if (job.state != JobState::Queued)
-            continue;
-        const bool isSuspect
-            = m_ledger.suspicion(job.submit.fingerprint, now) == decisions::Suspicion::Suspect;
-        if (isSuspect && hasSuspect)
-            continue;
-        const auto rank = [](const Job& j) { return std::pair(j.isTrial(), j.submit.deadline); };
-        if (!best || rank(job) < rank(*best))
-            best = &job;
-    }
-    return best;
-}
-
 void AgentCore::schedule()
 {
     const settings::Pool* ownPool = pool();
     if (!ownPool || m_state != ServingState::Serving)
         return;
-    while (Job* job = nextQueued()) {
-        const size_t active = countActive();
+    while (Job* job = m_jobs.next(m_ledger)) {
+        const size_t active = m_jobs.activeCount();
         const size_t trialSlots
             = std::max<size_t>(1, static_cast<size_t>(TrialSlotShare * ownPool->slots));
         if (job->isTrial() && active >= trialSlots)
@@ -344,13 +289,7 @@
 
 bool AgentCore::pauseOneTrial()
 {
-    Job* paused = nullptr;
-    for (auto& [request, job] : m_jobs) {
-        const bool canPause
-            = job.isTrial() && job.state == JobState::Running && !job.isServiceCall();
-        if (canPause && (!paused || job.started > paused->started))
-            paused = &job;
-    }
+    Job* paused = m_jobs.trialToPause();
     if (!paused)
         return false;
     m_target->cancel(paused->stream);
@@ -405,10 +344,10 @@
 
 void AgentCore::on(JournalAnswered& event)
 {
-    auto found = m_jobs.find(event.request);
-    if (found == m_jobs.end())
+    Job* found = m_jobs.find(event.request);
+    if (!found)
         return;
-    Job& job = found->second;
+    Job& job = *found;
     if (std::holds_alternative<journal::MayStart>(event.outcome)) {
         telemetry::record(EventKind::JournalStarted, event.request, m_self);
         return runAtTarget(job);
@@ -436,7 +375,7 @@
         refusal.owner = elsewhere->owner;
         refusal.config = m_config.revision();
         m_mailbox->send(job.submit.replyTo, refusal);
-        m_jobs.erase(found);
+        m_jobs.erase(event.request);
         return;
     }
     if (std::holds_alternative<journal::Interrupted>(event.outcome))
@@ -448,10 +387,10 @@
 
 void AgentCore::on(TokenArrived& event)
 {
-    auto found = m_jobs.find(event.request);
-    if (found == m_jobs.end())
+    Job* found = m_jobs.find(event.request);
+    if (!found)
         return;
-    Job& job = found->second;
+    Job& job = *found;
     const bool isCurrent = job.state == JobState::Running && job.stream == event.stream
         && event.offset == job.nextOffset();
     if (!isCurrent)
@@ -473,10 +412,10 @@
 {
     constexpr uint32_t HttpOk = 200;
     constexpr uint32_t Unavailable = 503;
-    auto found = m_jobs.find(event.request);
-    if (found == m_jobs.end())
+    Job* found = m_jobs.find(event.request);
+    if (!found)
         return;
-    Job& job = found->second;
+    Job& job = *found;
     if (job.state != JobState::Running || job.stream != event.stream)
         return;
     protocol::Final answer;
@@ -516,11 +455,7 @@
     if (now - m_lastCrash < CrashWindow)
         return;
     m_lastCrash = now;
-    std::vector<uint64_t> running;
-    for (const auto& [request, job] : m_jobs) {
-        if (job.state == JobState::Running)
-            running.push_back(job.submit.fingerprint);
-    }
+    const std::vector<uint64_t> running = m_jobs.runningFingerprints();
     const uint64_t crash
         = stableHash(m_incarnation.text() + std::to_string(now.time_since_epoch().count()));
     m_ledger.noteCrash(crash, running, unixNow());
@@ -541,13 +476,13 @@
 
 void AgentCore::on(ResultStored& event)
 {
-    auto found = m_jobs.find(event.request);
-    if (found == m_jobs.end() || !found->second.answer)
+    Job* found = m_jobs.find(event.request);
+    if (!found || !found->answer)
         return;
     if (event.isStored)
         telemetry::record(EventKind::JournalFinished, event.request, m_self);
-    protocol::Final answer = *found->second.answer;
-    finish(found->second, std::move(answer));
+    protocol::Final answer = *found->answer;
+    finish(*found, std::move(answer));
 }
 
 void AgentCore::finish(Job& job, protocol::Final answer)
@@ -583,7 +518,7 @@
     job.ended = steadyNow();
     job.answer.reset();
     if (execution == ExecutionState::NotRun)
-        addTombstone(job.submit.request, job.submit.attempt);
+        m_tombstones.add(job.submit.request, job.submit.attempt);
     endWaiters(job, nullptr);
 }
 
@@ -593,24 +528,24 @@
     if (job.submit.key.empty() || waiting.empty())
         return;
     for (const RequestId& request : waiting.mapped()) {
-        auto found = m_jobs.find(request);
-        if (found == m_jobs.end() || found->second.state == JobState::Done)
+        Job* waiter = m_jobs.find(request);
+        if (!waiter || waiter->state == JobState::Done)
             continue;
         if (!answer) {
-            refuse(found->second, RefusalReason::InterruptedRun, ExecutionState::MayHaveRun);
+            refuse(*waiter, RefusalReason::InterruptedRun, ExecutionState::MayHaveRun);
             continue;
         }
         protocol::Final copy = *answer;
         copy.replayed = true;
         telemetry::count("duplicates_answered");
-        finish(found->second, std::move(copy));
+        finish(*waiter, std::move(copy));
     }
 }
 
 // Entries continue moved work on other targets, from the tokens that callers already have.
 void AgentCore::moveAway(bool includeRunning)
 {
-    for (auto& [request, job] : m_jobs) {
+    for (auto& [request, job] : m_jobs.all()) {
         if (job.state == JobState::Queued)
             refuse(job, RefusalReason::Leaving, ExecutionState::NotRun);
         const bool canMove = job.state == JobState::Running && !job.isServiceCall();
@@ -654,8 +589,7 @@
 
 void AgentCore::updateEmptiness()
 {
-    const bool hasWork = std::any_of(m_jobs.begin(), m_jobs.end(),
-        [](const auto& entry) { return entry.second.state != JobState::Done; });
+    const bool hasWork = m_jobs.hasWork();
     m_isEmpty = m_isLeaving && !hasWork;
     if (m_emptied && !hasWork) {
         m_emptied->set_value();
@@ -663,32 +597,6 @@
     }
 }
 
-protocol::TargetLoad AgentCore::load() const
-{
-    protocol::TargetLoad total;
-    const settings::Pool* ownPool = pool();
-    total.slots = ownPool ? ownPool->slots : 0;
-    total.prefillTokensPerSecond = m_meter.prefillTokensPerSecond();
-    total.decodeStepMs = m_meter.decodeStepMs();
-    total.promptDemandPerSecond = m_meter.promptDemandPerSecond(steadyNow());
-    total.outputDemandPerSecond = m_meter.outputDemandPerSecond(steadyNow());
-    for (const auto& [request, job] : m_jobs) {
-        if (job.state == JobState::Done)
-            continue;
-        const bool isQueued = job.state == JobState::Queued;
-        if (job.isTrial()) {
-            (isQueued ? total.queuedTrial : total.runningTrial) += 1;
-            continue;
-        }
-        (isQueued ? total.queuedPaying : total.runningPaying) += 1;
-        if (job.tokens.empty())
-            total.prefillBacklogTokens += job.submit.promptTokens;
-        const uint32_t end = std::max(job.submit.outputTokens, job.nextOffset());
-        total.decodeBacklogTokens += end - job.nextOffset();
-    }
-    return total;
-}
-
 protocol::Heartbeat AgentCore::heartbeat() const
 {
     protocol::Heartbeat beat;
@@ -697,7 +605,8 @@
     beat.incarnation = m_incarnation;
     beat.role = m_role;
     beat.state = m_state;
-    beat.load = load();
+    const settings::Pool* ownPool = pool();
+    beat.load = m_jobs.load(m_meter, ownPool ? ownPool->slots : 0);
     beat.config = m_config.revision();
     beat.order = m_progress;
     beat.entries = static_cast<uint32_t>(m_subscribers.size());
@@ -718,10 +627,7 @@
         entries.push_back(
             { { "id", entry.text() }, { "operator", subscriber.hello.operatorAddress } });
     }
-    size_t reading = 0;
-    for (const auto& [request, job] : m_jobs)
-        reading += job.state == JobState::Running && job.tokens.empty() ? 1 : 0;
-    m_meter.noteReading(reading, now);
+    m_meter.noteReading(m_jobs.readingCount(), now);
     const nlohmann::json status { { "id", m_self.text() }, { "state", toText(m_state) },
         { "role", toText(m_role) }, { "config", beat.config.value() },
         { "running", beat.load.runningPaying + beat.load.runningTrial },
--- a/apps/agent/AgentCore.h
+++ b/apps/agent/AgentCore.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "ConfigExchange.h"
-#include "Job.h"
-#include "LoadMeter.h"
+#include "JobTable.h"
 #include "TargetClient.h"
+#include "Tombstones.h"
 #include "decisions/Decisions.h"
 #include "journal/Journal.h"
 
@@ -87,10 +87,8 @@
     template <typename Other> void receive(Other&) { }
 
     RefusalReason reasonToRefuse(const protocol::Submit& submit) const;
-    void addTombstone(const RequestId& request, AttemptNumber attempt);
     void continueHere(Job& job, protocol::Submit& submit);
     void schedule();
-    Job* nextQueued();
     bool pauseOneTrial();
     void begin(Job& job);
     void runAtTarget(Job& job);
@@ -103,8 +101,6 @@
     void noteCrash();
     void sendHeartbeats();
     protocol::Heartbeat heartbeat() const;
-    protocol::TargetLoad load() const;
-    size_t countActive() const;
     const settings::Pool* pool() const;
     void ensureJournal();
     void updateEmptiness();
@@ -123,10 +119,8 @@
     std::function<void()> m_onTargetLost;
     std::optional<Duty> m_duty;
 
-    std::map<RequestId, Job> m_jobs;
-    /** Attempts that must never be started here, with the newest at the back. */
-    std::map<RequestId, AttemptNumber> m_tombstones;
-    std::deque<RequestId> m_tombstoneOrder;
+    JobTable m_jobs;
+    Tombstones m_tombstones;
     /** Requests that wait for the answer of another one with the same idempotency key. */
     std::map<IdempotencyKey, std::vector<RequestId>> m_waiters;
     std::map<EntryId, Subscriber> m_subscribers;
--- a/apps/entry/RetryBudgets.cpp
+++ b/apps/entry/RetryBudgets.cpp
@@ -15,6 +15,8 @@
 
 void RetryBudgets::configure(const settings::LimitSettings& limits)
 {
+    if (limits == m_limits)
+        return;
     m_limits = limits;
     m_fleet = decisions::RetryBudget(limits.retryShare, limits.retryBurst * FleetBurstFactor);
     m_organisations.clear();
--- a/apps/entry/RetryBudgets.h
+++ b/apps/entry/RetryBudgets.h
@@ -10,7 +10,7 @@
 public:
     RetryBudgets();
 
-    /** Starts anew with other limits. */
+    /** Starts anew when the limits have changed. */
     void configure(const settings::LimitSettings& limits);
     void noteRequest(const OrganisationId& organisation);
     /** @return false when the organisation's budget or the fleet's is spent. */
--- a/apps/entry/Router.cpp
+++ b/apps/entry/Router.cpp
@@ -113,8 +113,11 @@
     for (const TargetId& target : m_targets.findSilent(now))
         targetLost(target, "silent");
     const UnixMillis wallNow = unixNow();
-    for (auto& [id, request] : m_requests)
-        checkTimers(request, now, wallNow);
+    if (now >= m_nextCheck) {
+        m_nextCheck = now + TickInterval;
+        for (auto& [id, request] : m_requests)
+            checkTimers(request, now, wallNow);
+    }
     if (now >= m_nextPublish)
         publish();
 }
--- a/apps/entry/Router.h
+++ b/apps/entry/Router.h
@@ -106,6 +106,7 @@
     std::map<OrganisationId, decisions::Limiter> m_limiters;
     RetryBudgets m_retryBudgets;
     SteadyTime m_lastTick;
+    SteadyTime m_nextCheck;
     SteadyTime m_nextHello;
     SteadyTime m_nextPublish;
     std::atomic<bool> m_isLeaving { false };
--- a/apps/entry/TargetTable.cpp
+++ b/apps/entry/TargetTable.cpp
@@ -113,7 +113,28 @@
         found->second.heartbeat->state = state;
 }
 
-decisions::Candidate TargetTable::candidateOf(const TargetView& view) const
+// Engines of a pool are alike, but each measures its speed on the work that it happens to get: one
+// that reads short prompts looks slow. Judged by its own figure it would get still less long work.
+TargetTable::RoleSpeeds TargetTable::speedsOf(const PoolId& pool) const
+{
+    RoleSpeeds speeds {};
+    for (const auto& [id, view] : m_targets) {
+        if (view.settings.pool != pool || !view.heartbeat)
+            continue;
+        RoleSpeed& speed = speeds[static_cast<size_t>(view.heartbeat->role) % speeds.size()];
+        speed.prefillTokensPerSecond += view.heartbeat->load.prefillTokensPerSecond;
+        speed.decodeStepMs += view.heartbeat->load.decodeStepMs;
+        speed.engines += 1;
+    }
+    for (RoleSpeed& speed : speeds) {
+        speed.prefillTokensPerSecond /= std::max(1.0, speed.engines);
+        speed.decodeStepMs /= std::max(1.0, speed.engines);
+    }
+    return speeds;
+}
+
+decisions::Candidate TargetTable::candidateOf(
+    const TargetView& view, const RoleSpeeds& speeds) const
 {
     const protocol::TargetLoad& load = view.heartbeat->load;
     decisions::Candidate candidate;
@@ -127,8 +148,9 @@
     candidate.queuedTrial = load.queuedTrial;
     candidate.prefillBacklogTokens = load.prefillBacklogTokens;
     candidate.decodeBacklogTokens = load.decodeBacklogTokens;
-    candidate.prefillTokensPerSecond = load.prefillTokensPerSecond;
-    candidate.decodeStepMs = load.decodeStepMs;
+    const RoleSpeed& speed = speeds[static_cast<size_t>(candidate.role) % speeds.size()];
+    candidate.prefillTokensPerSecond = speed.prefillTokensPerSecond;
+    candidate.decodeStepMs = speed.decodeStepMs;
     candidate.sentPaying = view.sentPaying;
     candidate.sentTrial = view.sentTrial;
     candidate.sentPrefillTokens = view.sentPrefillTokens;
@@ -141,12 +163,13 @@
     const std::set<TargetId>& avoided, const TargetId& warm, uint32_t warmTokens)
 {
     m_candidates.clear();
+    const RoleSpeeds speeds = speedsOf(pool);
     for (const bool includeAvoided : { false, true }) {
         for (const auto& [id, view] : m_targets) {
             const bool isAvoided = avoided.contains(id);
             if (view.settings.pool != pool || !view.isEligible() || isAvoided != includeAvoided)
                 continue;
-            m_candidates.push_back(candidateOf(view));
+            m_candidates.push_back(candidateOf(view, speeds));
             if (id == warm)
                 m_candidates.back().warmTokens = warmTokens;
         }
--- a/apps/entry/TargetTable.h
+++ b/apps/entry/TargetTable.h
@@ -5,6 +5,7 @@
 #include "protocol/Protocol.h"
 #include "settings/Settings.h"
 
+#include <array>
 #include <set>
 
 namespace citronspoke::entry {
@@ -63,7 +64,16 @@
     uint32_t entryCount() const;
 
 private:
-    decisions::Candidate candidateOf(const TargetView& view) const;
+    /** The speeds of one role's engines, as their mean. */
+    struct RoleSpeed {
+        double prefillTokensPerSecond = 0;
+        double decodeStepMs = 0;
+        double engines = 0;
+    };
+    using RoleSpeeds = std::array<RoleSpeed, 3>;
+
+    RoleSpeeds speedsOf(const PoolId& pool) const;
+    decisions::Candidate candidateOf(const TargetView& view, const RoleSpeeds& speeds) const;
 
     EntryId m_self;
     ZoneId m_zone;
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -146,6 +146,8 @@
     /** Retries that are always allowed in a burst. */
     uint32_t retryBurst = 10;
     uint32_t attemptsPerRequest = 4;
+
+    bool operator==(const LimitSettings&) const = default;
 };
 
 struct JournalSettings {
