Count a target's outstanding requests down when the caller leaves

Cause: reading the router: a request that ended by its deadline or by its caller's leaving was never taken off its target's count, so least_outstanding and the bound on copies saw load that was not there. An agent that got an attempt twice answered only that it was accepted, also after a refusal, and a caller then waited until its deadline. Change: each attempt is counted off once, wherever it ends; an agent repeats its refusal or its answer. LocalFleet can start a second entry. Conclusion: counts are true; the repeated refusal has no test of its own.

--- a/apps/agent/AgentCore.cpp
+++ b/apps/agent/AgentCore.cpp
@@ -180,13 +180,11 @@
 void AgentCore::receive(protocol::Submit& submit)
 {
     m_exchange->noteRevision(submit.replyTo, submit.config);
-    if (m_tombstones.covers(submit.request, submit.attempt))
-        return;
     Job* known = m_jobs.find(submit.request);
-    if (known && known->submit.attempt >= submit.attempt) {
-        m_mailbox->send(submit.replyTo, protocol::Accepted { submit.request, submit.attempt });
+    if (known && known->submit.attempt >= submit.attempt)
+        return answerAgain(*known, submit);
+    if (m_tombstones.covers(submit.request, submit.attempt))
         return;
-    }
     if (known && known->state != JobState::Done)
         return continueHere(*known, submit);
     if (!submit.crashes.empty()) {
@@ -211,6 +209,18 @@
     schedule();
 }
 
+// The entry sends an attempt again when it has not heard of it in time.
+void AgentCore::answerAgain(const Job& job, const protocol::Submit& submit)
+{
+    if (job.submit.attempt > submit.attempt)
+        return;
+    m_mailbox->send(submit.replyTo, protocol::Accepted { submit.request, submit.attempt });
+    if (job.refusal)
+        m_mailbox->send(submit.replyTo, *job.refusal);
+    else if (job.state == JobState::Done)
+        sendFrom(job, submit.resumeFrom);
+}
+
 // A later attempt of a request that is still here: its entry lost touch, the job goes on.
 void AgentCore::continueHere(Job& job, protocol::Submit& submit)
 {
@@ -517,6 +527,7 @@
     job.state = JobState::Done;
     job.ended = steadyNow();
     job.answer.reset();
+    job.refusal = refusal;
     if (execution == ExecutionState::NotRun)
         m_tombstones.add(job.submit.request, job.submit.attempt);
     endWaiters(job, nullptr);
--- a/apps/agent/AgentCore.h
+++ b/apps/agent/AgentCore.h
@@ -87,6 +87,7 @@
     template <typename Other> void receive(Other&) { }
 
     RefusalReason reasonToRefuse(const protocol::Submit& submit) const;
+    void answerAgain(const Job& job, const protocol::Submit& submit);
     void continueHere(Job& job, protocol::Submit& submit);
     void schedule();
     bool pauseOneTrial();
--- a/apps/agent/Job.h
+++ b/apps/agent/Job.h
@@ -21,6 +21,8 @@
     SteadyTime ended;
     /** Set when the answer is complete, for callers that attach again. */
     std::optional<protocol::Final> answer;
+    /** Set when the attempt was not served, for its entry to be told again. */
+    std::optional<protocol::Refusal> refusal;
 
     bool isTrial() const noexcept { return submit.workClass == WorkClass::Trial; }
     bool isServiceCall() const noexcept { return submit.kind == protocol::WorkKind::ServiceCall; }
--- a/apps/entry/Request.h
+++ b/apps/entry/Request.h
@@ -43,6 +43,8 @@
     AttemptNumber attempt;
     uint32_t attemptsMade = 0;
     uint32_t resends = 0;
+    /** The present attempt counts as outstanding at its target. */
+    bool isAttemptOut = false;
     bool isAccepted = false;
     /** Attempts that were sent and not proved to be not run. */
     std::set<AttemptNumber> unproven;
--- a/apps/entry/Router.cpp
+++ b/apps/entry/Router.cpp
@@ -297,6 +297,7 @@
     const TargetView* view = m_targets.find(target);
     request.incarnation = view->heartbeat->incarnation;
     request.unproven.insert(request.attempt);
+    request.isAttemptOut = true;
     m_chooser.noteSent(request);
     telemetry::record(EventKind::AttemptSent, request.id(), target,
         "attempt " + std::to_string(request.attempt.value()));
@@ -304,6 +305,13 @@
     failurePoint("entry.after_submit");
 }
 
+void Router::endAttempt(Request& request)
+{
+    if (request.isAttemptOut)
+        m_targets.noteEnded(request.target);
+    request.isAttemptOut = false;
+}
+
 void Router::resend(Request& request)
 {
     request.isAccepted = false;
@@ -337,7 +345,7 @@
 void Router::abandonAttempt(Request& request, RefusalReason reason, bool costsRetry)
 {
     request.lastRefusal = reason;
-    m_targets.noteEnded(request.target);
+    endAttempt(request);
     request.avoided.insert(request.target);
     if (const TargetView* view = m_targets.find(request.target); view && request.isIdempotent())
         m_mailbox->send(view->settings.mailbox, protocol::Cancel { request.id(), request.attempt });
@@ -486,7 +494,7 @@
         request->unproven.erase(refusal.attempt);
     telemetry::record(EventKind::AttemptRefused, refusal.request, request->target,
         std::string(toText(refusal.reason)));
-    m_targets.noteEnded(request->target);
+    endAttempt(*request);
     const Milliseconds retryAfter(refusal.retryAfterMs);
     switch (refusal.reason) {
     case RefusalReason::Leaving:
@@ -543,7 +551,6 @@
     } else {
         request.caller.exchange->respond(wholeResponse(request));
     }
-    m_targets.noteEnded(request.target);
     detach(request);
 }
 
@@ -574,6 +581,7 @@
 {
     if (!request.isAttached)
         m_limiters[request.caller.submit.organisation].noteFinished();
+    endAttempt(request);
     m_chooser.noteEnded(request);
     request.caller.exchange.reset();
     m_ended.push_back(request.id());
--- a/apps/entry/Router.h
+++ b/apps/entry/Router.h
@@ -72,6 +72,8 @@
     void dispatch(Request& request);
     void send(Request& request, const TargetId& target);
     void resend(Request& request);
+    /** The target has no longer anything to do with the present attempt. */
+    void endAttempt(Request& request);
     /** Ends the present attempt and tries elsewhere if that is allowed. */
     void abandonAttempt(Request& request, RefusalReason reason, bool costsRetry);
     bool mayRetry(Request& request, bool costsRetry);
--- a/bench/capacity-bench/main.cpp
+++ b/bench/capacity-bench/main.cpp
@@ -192,9 +192,8 @@
         { "71-organisations.toml", organisations(organisationCount) } };
     localfleet::LocalFleet fleet(options);
     Peers peers(targets);
-    fleet.startPlatform();
-    if (fleet.applyConfiguration({}) != 0)
-        throw localfleet::FleetFailed("The configuration was not accepted.");
+    // Every target of the configuration answers, or the entry would spend its time on dialling.
+    fleet.startTargets();
     fleet.start("entry:1");
     peers.sendEach(mailboxOf(fleet, "entry:1"), HeartbeatInterval, [subset](int number) {
         protocol::Heartbeat beat;
--- a/libs/journal/src/Journal.cpp
+++ b/libs/journal/src/Journal.cpp
@@ -1,5 +1,6 @@
 #include "OwnerLease.h"
 #include "ShardHead.h"
+#include "WritePacer.h"
 #include "telemetry/Telemetry.h"
 
 #include <algorithm>
@@ -17,9 +18,6 @@
     constexpr size_t RecordsInHead = 200;
     constexpr size_t RecordsKeptInHead = 50;
     constexpr size_t LargestStoredBody = 32768;
-    /** Each owner keeps to this many writes a second, whatever the number of calls. */
-    constexpr double WritesPerSecond = 40;
-    constexpr double WriteBurst = 20;
 
     struct BeginCommand {
         Call call;
@@ -76,8 +74,7 @@
     OwnerLease lease;
     Ring<Command> commands { RingCapacity };
     std::map<JournalShard, Shard> shards;
-    double writeTokens = WriteBurst;
-    SteadyTime writeTokensAt = steadyNow();
+    WritePacer pacer;
     /** After an outage, results that are kept are tried again at this time. */
     SteadyTime retryAt;
     std::optional<Duty> duty;
@@ -97,7 +94,7 @@
             take(batch);
             if (hasWork()) {
                 // Calls that come in this interval share the write.
-                sleepUnlessStopped(token, commitDelay());
+                sleepUnlessStopped(token, std::max(options.commitInterval, pacer.delay()));
                 commands.popAll(batch, Milliseconds(0));
                 take(batch);
             }
@@ -121,17 +118,6 @@
         return false;
     }
 
-    Milliseconds commitDelay()
-    {
-        const std::chrono::duration<double> elapsed = steadyNow() - writeTokensAt;
-        writeTokensAt = steadyNow();
-        writeTokens = std::min(WriteBurst, writeTokens + elapsed.count() * WritesPerSecond);
-        if (writeTokens >= 1)
-            return options.commitInterval;
-        const double wait = (1 - writeTokens) / WritesPerSecond;
-        return std::max(options.commitInterval, Milliseconds(static_cast<int64_t>(wait * 1000)));
-    }
-
     Shard& shardFor(const IdempotencyKey& key) { return shards[shardOf(key, options.shards)]; }
 
     void accept(BeginCommand& command)
@@ -227,7 +213,7 @@
     bool write(JournalShard id, Shard& shard, ShardHead next)
     {
         next.nonce = randomHex(16);
-        writeTokens -= 1;
+        pacer.noteWrite();
         const platform::WriteOutcome outcome = platform::swapWithNonce(store, headKey(id),
             shard.revision, encodeHead(next), platform::LeaseId(0), CommitTries);
         if (std::holds_alternative<platform::OutcomeUnknown>(outcome)) {
--- a/tests/system/AnswerTests.cpp
+++ b/tests/system/AnswerTests.cpp
@@ -1,6 +1,7 @@
 #include "Callers.h"
 
 #include <array>
+#include <atomic>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <future>
@@ -119,14 +120,27 @@
 {
     localfleet::LocalFleet fleet(engineFleet("answers-caller-gone"));
     fleet.startAll();
-    stream(fleet.callerUrl(1), completionBody(Prompt, 20000), ReviewKey, {},
-        [](const StreamedAnswer& answer) { return answer.tokens.size() < 5; });
+    std::atomic<bool> isLeaving { false };
+    const std::future<StreamedAnswer> caller = std::async(std::launch::async, [&] {
+        return stream(fleet.callerUrl(1), completionBody(Prompt, 20000), ReviewKey, {},
+            [&isLeaving](const StreamedAnswer&) { return !isLeaving; });
+    });
+    cr_assert(eventually(
+        [&fleet] { return ask(fleet.operatorUrl("entry:1") + "/status")["requests"] == 1; }));
+    isLeaving = true;
     cr_assert(eventually([&fleet] {
         int64_t cancelled = 0;
         for (const std::string& engine : Engines)
             cancelled += ask(fleet.targetUrl(engine) + "/history")["cancelled"].get<int64_t>();
         return cancelled == 1;
     }));
+    cr_assert(eventually([&fleet] {
+        const nlohmann::json status = ask(fleet.operatorUrl("entry:1") + "/status");
+        int64_t outstanding = 0;
+        for (const std::string& engine : Engines)
+            outstanding += status["targets"][engine]["outstanding"].get<int64_t>();
+        return status["requests"] == 0 && outstanding == 0;
+    }));
 }
 
 Test(answers, when_no_engine_is_left_a_cut_answer_does_not_look_whole)
--- a/tools/localfleet/LocalFleet.cpp
+++ b/tools/localfleet/LocalFleet.cpp
@@ -256,6 +256,14 @@
     launch(name, "fake-engine", flags);
 }
 
+std::optional<int> LocalFleet::startSecond(const std::string& entry, const std::string& log) const
+{
+    ChildProcess second(programPath("citronspoke-entry"),
+        { "--settings=" + m_options.workFolder + "/" + entry + ".toml" },
+        m_options.workFolder + "/" + log);
+    return second.waitForExit(StartLimit);
+}
+
 void LocalFleet::startPlatform()
 {
     start("platform");
--- a/tools/localfleet/LocalFleet.h
+++ b/tools/localfleet/LocalFleet.h
@@ -38,6 +38,11 @@
     /** Starts everything, applies the configuration and waits until all targets are eligible. */
     void startAll();
     void start(const std::string& name);
+    /**
+     * Starts a second process with an entry's settings and waits for its end.
+     * @return its exit status; none when it goes on.
+     */
+    std::optional<int> startSecond(const std::string& entry, const std::string& log) const;
     ChildProcess& process(const std::string& name);
     /** @return whether every entry that was started finds so many targets eligible in time. */
     bool waitUntilEligible(size_t targets, Milliseconds limit) const;
