Say may_have_run of paused work that is refused

Cause: reading the agent: a trial that had been paused after some tokens and then ran out of time, or was moved away, was refused as not_run. Change: a queued job is not_run only while the target was never given it. Test: trials/that_were_paused_... fails without the change (not_run) and passes with it; trials/give_their_slot_... shows pause and whole resume. Ruled out: a longer trial, which is refused at admission by its estimate.

--- a/apps/agent/AgentCore.cpp
+++ b/apps/agent/AgentCore.cpp
@@ -98,7 +98,7 @@
     const UnixMillis wallNow = unixNow();
     for (auto& [request, job] : m_jobs.all()) {
         if (job.state == JobState::Queued && job.submit.deadline < wallNow)
-            refuse(job, RefusalReason::DeadlinePassed, ExecutionState::NotRun);
+            refuse(job, RefusalReason::DeadlinePassed, job.execution());
     }
     const settings::DeploymentPointer deployment = m_config.current();
     if (deployment && !m_isLeaving) {
@@ -558,7 +558,7 @@
 {
     for (auto& [request, job] : m_jobs.all()) {
         if (job.state == JobState::Queued)
-            refuse(job, RefusalReason::Leaving, ExecutionState::NotRun);
+            refuse(job, RefusalReason::Leaving, job.execution());
         const bool canMove = job.state == JobState::Running && !job.isServiceCall();
         if (!includeRunning || !canMove)
             continue;
--- a/apps/agent/Job.h
+++ b/apps/agent/Job.h
@@ -31,6 +31,11 @@
         return state == JobState::Running || state == JobState::Journaling
             || state == JobState::Storing;
     }
+    /** @return NotRun only while the target has never been given the job. */
+    ExecutionState execution() const noexcept
+    {
+        return started == SteadyTime {} ? ExecutionState::NotRun : ExecutionState::MayHaveRun;
+    }
     uint32_t nextOffset() const noexcept
     {
         return submit.resumeFrom + static_cast<uint32_t>(tokens.size());
--- /dev/null
+++ b/tests/system/TrialTests.cpp
@@ -0,0 +1,62 @@
+#include "Callers.h"
+
+#include <criterion/criterion.h>
+#include <future>
+
+using namespace citronspoke;
+using namespace citronspoke::tests;
+
+namespace {
+
+/** One engine with one slot, so that a paying request needs the trial's. */
+localfleet::FleetOptions oneSlotFleet(const std::string& name)
+{
+    localfleet::FleetOptions options = smallFleet(name);
+    options.targets = { "e-1" };
+    options.entries = 1;
+    options.extraFiles = { { "70-slots.toml", "[pool.engines]\nslots = 1\n" } };
+    return options;
+}
+
+std::future<StreamedAnswer> startTrial(
+    localfleet::LocalFleet& fleet, uint32_t tokens, const std::string& deadlineMs)
+{
+    std::future<StreamedAnswer> trial
+        = std::async(std::launch::async, [&fleet, tokens, deadlineMs] {
+              return stream(fleet.callerUrl(1), completionBody("Trial", tokens), TrialKey,
+                  { { "x-deadline-ms", deadlineMs } });
+          });
+    cr_assert(
+        eventually([&fleet] { return ask(fleet.targetUrl("e-1") + "/history")["running"] == 1; }));
+    return trial;
+}
+
+} // namespace
+
+Test(trials, give_their_slot_to_paying_work_and_still_get_a_whole_answer)
+{
+    localfleet::LocalFleet fleet(oneSlotFleet("trials-paused"));
+    fleet.startAll();
+    std::future<StreamedAnswer> trial = startTrial(fleet, 600, "60000");
+    const StreamedAnswer paying
+        = stream(fleet.callerUrl(1), completionBody("Lookup", 20), LookupKey);
+    cr_assert(paying.isWhole);
+    cr_assert(trial.wait_for(Milliseconds(0)) != std::future_status::ready);
+    const StreamedAnswer answer = trial.get();
+    cr_assert(answer.isWhole);
+    cr_assert(answer.tokens == expectedTokens("Trial", 600));
+}
+
+Test(trials, that_were_paused_and_ran_out_of_time_are_not_said_to_be_not_run)
+{
+    localfleet::LocalFleet fleet(oneSlotFleet("trials-late"));
+    fleet.startAll();
+    std::future<StreamedAnswer> trial = startTrial(fleet, 200, "3000");
+    const StreamedAnswer paying
+        = stream(fleet.callerUrl(1), completionBody("Review", 1200), ReviewKey);
+    cr_assert(paying.isWhole);
+    const StreamedAnswer answer = trial.get();
+    cr_assert_not(answer.isWhole);
+    cr_assert_eq(answer.error.value("type", ""), "deadline_passed");
+    cr_assert_eq(answer.error.value("execution", ""), "may_have_run");
+}
