--- a/libs/decisions/tests/DecisionTests.cpp
+++ b/libs/decisions/tests/DecisionTests.cpp
@@ -94,6 +94,7 @@
     const bool holds = rc::check("no candidate is better than the chosen one", [] {
         std::vector<Candidate> engines;
         const int count = *rc::gen::inRange(1, 8);
+        engines.reserve(static_cast<size_t>(count));
         for (int number = 0; number < count; ++number)
             engines.push_back(arbitraryCandidate(number));
         RoutingPolicy policy = EstimatedFinish {};
@@ -172,6 +173,7 @@
     RolePolicy policy;
     policy.changePrice = 0.05;
     std::vector<EngineView> engines;
+    engines.reserve(12);
     for (int number = 0; number < 12; ++number) {
         engines.push_back({ TargetId("e-" + std::to_string(number)),
             ZoneId("z-" + std::to_string(number % 3)), EngineRole::Mixed, true });
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# Builds citronspoke and passes its tests. The cases in KNOWN-RED.txt are run and printed, but
-# only they may fail.
+# Builds citronspoke and passes its tests. Prints KNOWN-RED.txt; it lists none today, so every
+# test must pass.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh
 ctest --test-dir build --output-on-failure --no-tests=error
+cat KNOWN-RED.txt
