--- a/libs/protocol/tests/CodecTests.cpp
+++ b/libs/protocol/tests/CodecTests.cpp
@@ -31,13 +31,14 @@
 
 Test(codec, bytes_from_nowhere_are_malformed_and_nothing_worse)
 {
-    const bool holds = rc::check("decode throws MalformedEnvelope only", [](std::string bytes) {
-        try {
-            decode(bytes);
-        } catch (const MalformedEnvelope&) {
-            RC_SUCCEED("refused");
-        }
-    });
+    const bool holds
+        = rc::check("decode throws MalformedEnvelope only", [](const std::string& bytes) {
+              try {
+                  decode(bytes);
+              } catch (const MalformedEnvelope&) {
+                  RC_SUCCEED("refused");
+              }
+          });
     cr_assert(holds);
 }
 
