--- a/tests/system/AtMostOnceTests.cpp
+++ b/tests/system/AtMostOnceTests.cpp
@@ -36,7 +36,7 @@
 
     Answer call(size_t entry, const std::string& body = "{\"quote\":1}")
     {
-        const Answer answer = callService(fleet.callerUrl(entry), key, body);
+        Answer answer = callService(fleet.callerUrl(entry), key, body);
         note(answer);
         return answer;
     }
--- a/tests/system/CrashTests.cpp
+++ b/tests/system/CrashTests.cpp
@@ -33,6 +33,7 @@
     localfleet::LocalFleet fleet(engineFleet("crash-repeated"));
     fleet.startAll();
     std::vector<std::future<StreamedAnswer>> innocent;
+    innocent.reserve(9);
     for (int number = 0; number < 9; ++number) {
         innocent.push_back(std::async(std::launch::async, [&fleet, number] {
             return stream(fleet.callerUrl(1 + static_cast<size_t>(number) % 2),
--- a/tests/system/OrderTests.cpp
+++ b/tests/system/OrderTests.cpp
@@ -144,6 +144,7 @@
     OrderRun run("orders-declared");
     run.startEntries();
     std::vector<std::future<StreamedAnswer>> answers;
+    answers.reserve(12);
     for (int number = 0; number < 12; ++number) {
         answers.push_back(std::async(std::launch::async, [&run, number] {
             return stream(run.fleet.callerUrl(1),
--- a/tools/localfleet/LocalFleet.cpp
+++ b/tools/localfleet/LocalFleet.cpp
@@ -163,9 +163,10 @@
     }
     size_t number = 0;
     for (const std::string& name : entryNames()) {
-        writeFile(name + ".toml",
-            commonSettings(name, zones[number++ % zones.size()]) + "callers = "
-                + inQuotes(m_addresses.at(name + "/callers")) + "\nseeds = [" + seeds + "]\n");
+        std::string text = commonSettings(name, zones[number++ % zones.size()]);
+        text.append("callers = ").append(inQuotes(m_addresses.at(name + "/callers")));
+        text.append("\nseeds = [").append(seeds).append("]\n");
+        writeFile(name + ".toml", text);
     }
     for (const auto& [id, target] : m_deployment.targets) {
         const TargetKind kind = m_deployment.pools.at(target.pool).kind;
