--- /dev/null
+++ b/apps/gateway/CallerConnection.cpp
@@ -0,0 +1,232 @@
+#include "CallerConnection.h"
+
+#include "telemetry/Telemetry.h"
+
+namespace citronspoke::gateway {
+
+namespace {
+
+    constexpr size_t PendingBytes = 64 * 1024;
+
+    http1::MessageLimits limitsOf(const GatewayContext& context)
+    {
+        const fleet::CallerLimits limits
+            = context.routes ? context.routes->declaration().limits : fleet::CallerLimits {};
+        return { limits.headBytes, limits.bodyBytes };
+    }
+
+} // namespace
+
+CallerConnection::CallerConnection(GatewayContext& context, channels::ConnectionPointer connection,
+    std::function<void()> onClosed)
+    : m_context(context)
+    , m_connection(std::move(connection))
+    , m_onClosed(std::move(onClosed))
+    , m_parser(limitsOf(context))
+    , m_timer(context.loop)
+{
+}
+
+void CallerConnection::start()
+{
+    const std::weak_ptr<CallerConnection> weak = weak_from_this();
+    channels::Connection::Handlers handlers;
+    handlers.onBytes = [weak](std::string_view bytes) {
+        if (const std::shared_ptr<CallerConnection> self = weak.lock())
+            self->onBytes(bytes);
+    };
+    handlers.onEnd = [weak](channels::ConnectionEnd) {
+        if (const std::shared_ptr<CallerConnection> self = weak.lock())
+            self->close();
+    };
+    m_connection->start(std::move(handlers));
+    armTimer();
+}
+
+void CallerConnection::closeWhenIdle()
+{
+    m_closesAfterAnswer = true;
+    if (isIdle())
+        close();
+}
+
+void CallerConnection::onBytes(std::string_view bytes)
+{
+    m_pending.append(bytes);
+    if (m_run) {
+        // Pipelined requests wait; their size is bounded.
+        if (m_pending.size() > PendingBytes)
+            close();
+        return;
+    }
+    parsePending();
+}
+
+void CallerConnection::parsePending()
+{
+    const std::shared_ptr<CallerConnection> self = shared_from_this();
+    while (!m_pending.empty() && !m_run && !m_isClosed) {
+        const bool wasBetween = m_parser.isBetweenMessages();
+        std::vector<http1::RequestEvent> events;
+        size_t used = 0;
+        try {
+            used = m_parser.feed(m_pending, events);
+        } catch (const http1::MessageRejected& rejected) {
+            reject(rejected.fault());
+            return;
+        }
+        m_pending.erase(0, used);
+        for (http1::RequestEvent& event : events)
+            onEvent(event);
+        if (m_isRequestWhole)
+            startRun();
+        else if (wasBetween != m_parser.isBetweenMessages())
+            armTimer();
+    }
+}
+
+void CallerConnection::onEvent(http1::RequestEvent& event)
+{
+    if (http1::RequestHead* head = std::get_if<http1::RequestHead>(&event)) {
+        m_request.head = std::move(*head);
+        m_request.body.clear();
+        if (m_request.head.expectsContinue)
+            m_connection->write("HTTP/1.1 100 Continue\r\n\r\n");
+    } else if (const http1::BodyPart* part = std::get_if<http1::BodyPart>(&event)) {
+        m_request.body.append(part->bytes);
+    } else {
+        m_isRequestWhole = true;
+    }
+}
+
+void CallerConnection::startRun()
+{
+    m_isRequestWhole = false;
+    m_timer.cancel();
+    m_request.receivedAt = steadyNow();
+    if (!m_request.head.isKeptAlive)
+        m_closesAfterAnswer = true;
+    const std::shared_ptr<RequestRun> run
+        = std::make_shared<RequestRun>(m_context, std::move(m_request), *this);
+    m_request = {};
+    m_run = run;
+    run->start();
+}
+
+void CallerConnection::respond(uint32_t status, std::string_view reason,
+    const http1::Headers& headers, std::string_view body)
+{
+    http1::Headers whole = headers;
+    whole.add("Content-Length", std::to_string(body.size()));
+    addConnectionField(whole);
+    m_connection->write(http1::composeResponse(status, reason, whole).append(body));
+    finishAnswer();
+}
+
+void CallerConnection::beginBody(
+    uint32_t status, std::string_view reason, const http1::Headers& headers)
+{
+    http1::Headers chunked = headers;
+    chunked.add("Transfer-Encoding", "chunked");
+    addConnectionField(chunked);
+    m_connection->write(http1::composeResponse(status, reason, chunked));
+}
+
+void CallerConnection::writeBody(std::string_view bytes)
+{
+    m_connection->write(http1::composeChunk(bytes));
+}
+
+void CallerConnection::endBody()
+{
+    m_connection->write(std::string(http1::LastChunk));
+    finishAnswer();
+}
+
+void CallerConnection::abort() { close(); }
+
+void CallerConnection::finishAnswer()
+{
+    // The run is still on the stack; it is released, and the next request begun, later.
+    m_context.loop.post([self = shared_from_this()] {
+        if (self->m_isClosed)
+            return;
+        self->m_run.reset();
+        if (self->m_closesAfterAnswer) {
+            self->m_connection->closeAfterWrites();
+            self->m_isClosed = true;
+            self->m_timer.cancel();
+            self->m_onClosed();
+            return;
+        }
+        self->armTimer();
+        self->parsePending();
+    });
+}
+
+void CallerConnection::reject(http1::ParseFault fault)
+{
+    uint32_t status = 400;
+    std::string_view reason = "Bad Request";
+    if (fault == http1::ParseFault::HeadTooLarge) {
+        status = 431;
+        reason = "Request Header Fields Too Large";
+    } else if (fault == http1::ParseFault::BodyTooLarge) {
+        status = 413;
+        reason = "Content Too Large";
+    }
+    telemetry::logWarning("caller", "Rejected a message.", { { "status", std::to_string(status) } });
+    telemetry::count("rejected_messages", { { "status", std::to_string(status) } });
+    m_closesAfterAnswer = true;
+    m_pending.clear();
+    respond(status, reason, {}, {});
+}
+
+void CallerConnection::armTimer()
+{
+    const fleet::CallerLimits limits = m_context.routes
+        ? m_context.routes->declaration().limits
+        : fleet::CallerLimits {};
+    const std::weak_ptr<CallerConnection> weak = weak_from_this();
+    m_timer.arm(m_parser.isBetweenMessages() ? limits.idleTimeout : limits.headTimeout, [weak] {
+        if (const std::shared_ptr<CallerConnection> self = weak.lock())
+            self->onTimeout();
+    });
+}
+
+void CallerConnection::onTimeout()
+{
+    if (m_run || m_isClosed)
+        return;
+    if (isIdle()) {
+        close();
+        return;
+    }
+    m_closesAfterAnswer = true;
+    respond(408, "Request Timeout", {}, {});
+}
+
+void CallerConnection::close()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    m_timer.cancel();
+    m_connection->close();
+    if (m_run) {
+        m_run->callerLeft();
+        // The run may be on the stack.
+        m_context.loop.post([run = std::move(m_run)] { });
+    }
+    m_onClosed();
+}
+
+void CallerConnection::addConnectionField(http1::Headers& headers)
+{
+    if (m_context.isStopping)
+        m_closesAfterAnswer = true;
+    if (m_closesAfterAnswer)
+        headers.add("Connection", "close");
+}
+
+} // namespace citronspoke::gateway
--- /dev/null
+++ b/apps/gateway/CallerConnection.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "RequestRun.h"
+
+namespace citronspoke::gateway {
+
+/** One connection of a caller: reads its requests one after the other and writes the answers. */
+class CallerConnection final : public AnswerWriter,
+                               public std::enable_shared_from_this<CallerConnection> {
+public:
+    /** @param onClosed called once, when the connection is over. */
+    CallerConnection(GatewayContext& context, channels::ConnectionPointer connection,
+        std::function<void()> onClosed);
+
+    void start();
+    /** Ends the connection as soon as no request is being served. */
+    void closeWhenIdle();
+    bool isIdle() const noexcept { return !m_run && m_parser.isBetweenMessages(); }
+
+    void respond(uint32_t status, std::string_view reason, const http1::Headers& headers,
+        std::string_view body) override;
+    void beginBody(
+        uint32_t status, std::string_view reason, const http1::Headers& headers) override;
+    void writeBody(std::string_view bytes) override;
+    void endBody() override;
+    void abort() override;
+
+private:
+    void onBytes(std::string_view bytes);
+    void parsePending();
+    void onEvent(http1::RequestEvent& event);
+    void startRun();
+    void finishAnswer();
+    void reject(http1::ParseFault fault);
+    void armTimer();
+    void onTimeout();
+    void close();
+    void addConnectionField(http1::Headers& headers);
+
+    GatewayContext& m_context;
+    channels::ConnectionPointer m_connection;
+    std::function<void()> m_onClosed;
+    http1::RequestParser m_parser;
+    channels::Timer m_timer;
+    std::string m_pending;
+    ReceivedRequest m_request;
+    bool m_isRequestWhole = false;
+    std::shared_ptr<RequestRun> m_run;
+    bool m_closesAfterAnswer = false;
+    bool m_isClosed = false;
+};
+
+} // namespace citronspoke::gateway
--- /dev/null
+++ b/apps/gateway/Gateway.cpp
@@ -0,0 +1,203 @@
+#include "Gateway.h"
+
+#include "telemetry/Telemetry.h"
+
+namespace citronspoke::gateway {
+
+namespace {
+
+    /** The balancer asks once a second and takes a VM out after two misses. */
+    constexpr Milliseconds BalancerNotice { 2600 };
+    constexpr Milliseconds StopCheckInterval { 50 };
+    /** Left for the end of the process before it would be killed. */
+    constexpr Milliseconds ExitMargin { 400 };
+
+    fleet::Address addressIn(const std::string& text)
+    {
+        const std::optional<fleet::Address> address = fleet::parseAddress(text);
+        require(address.has_value(), "settings hold addresses IP:PORT");
+        return *address;
+    }
+
+    channels::ConnectionPool::Options storeOptions()
+    {
+        channels::ConnectionPool::Options options;
+        options.connectTimeout = Milliseconds(500);
+        return options;
+    }
+
+} // namespace
+
+Gateway::Gateway(channels::EventLoop& loop, const settings::GatewaySettings& settings)
+    : m_loop(loop)
+    , m_context(loop, settings)
+    , m_storePool(loop, storeOptions())
+    , m_declarations(loop, m_storePool, addressIn(settings.store),
+          { std::string(adapter::DeclarationPrefix), Milliseconds(2000) },
+          { [this](std::span<const adapter::StoreItem> items, bool) {
+               for (const adapter::StoreItem& item : items)
+                   onDeclaration(item);
+           },
+              [this](const adapter::KeyChange& change, bool) {
+                  if (const adapter::KeyWritten* written
+                      = std::get_if<adapter::KeyWritten>(&change))
+                      onDeclaration(written->item);
+              } })
+    , m_targets(loop, m_storePool, addressIn(settings.store),
+          { std::string(adapter::TargetPrefix), Milliseconds(2000) },
+          { [this](std::span<const adapter::StoreItem> items, bool mayHaveLapsed) {
+               onTargets(items, mayHaveLapsed);
+           },
+              [this](const adapter::KeyChange& change, bool mayHaveLapsed) {
+                  onTargetChange(change, mayHaveLapsed);
+              } })
+    , m_listener(std::make_unique<channels::Listener>(loop, addressIn(settings.callers),
+          [this](channels::ConnectionPointer connection) { accept(std::move(connection)); }))
+    , m_readiness(
+          loop, addressIn(settings.readiness), [this](std::string_view) { return answerReadiness(); })
+    , m_operator(loop, addressIn(settings.operatorAddress),
+          [](std::string_view) {
+              return channels::PageServer::Page { 200, "text/plain", telemetry::metricsText() };
+          })
+    , m_stopTimer(loop)
+{
+    m_context.declarationAge = [this] {
+        const std::optional<SteadyTime> last = m_declarations.lastAnswer();
+        const SteadyTime::duration age = last ? steadyNow() - *last : std::chrono::hours(1);
+        return std::chrono::duration_cast<Milliseconds>(age);
+    };
+}
+
+void Gateway::start()
+{
+    m_declarations.start();
+    m_targets.start();
+}
+
+void Gateway::onDeclaration(const adapter::StoreItem& item)
+{
+    if (item.key != adapter::DeclarationKey)
+        return;
+    try {
+        fleet::Declaration declaration = adapter::decodeDeclaration(item.value);
+        const ConfigRevision revision = declaration.revision;
+        const ConfigRevision known
+            = m_context.routes ? m_context.routes->declaration().revision : ConfigRevision(0);
+        // A late or repeated change must not bring back what is already replaced.
+        if (revision <= known)
+            return;
+        m_context.routes = std::make_shared<dispatch::RouteTable>(std::move(declaration));
+        telemetry::logInfo("config", "Adopted a declaration.",
+            { { "revision", std::to_string(revision.value()) },
+                { "before", std::to_string(known.value()) },
+                { "routes", std::to_string(m_context.routes->declaration().routes.size()) } });
+    } catch (const adapter::DocumentUnreadable& unreadable) {
+        telemetry::logError("config", "Kept the declaration; the new one is unreadable.",
+            { { "cause", unreadable.describe() } });
+    }
+}
+
+std::optional<fleet::TargetEntry> Gateway::decodeTarget(const adapter::StoreItem& item) const
+{
+    try {
+        return adapter::decodeTarget(item.key, item.value);
+    } catch (const adapter::DocumentUnreadable& unreadable) {
+        telemetry::logWarning("targets", "Skipped an entry.",
+            { { "key", item.key }, { "cause", unreadable.describe() } });
+        return std::nullopt;
+    }
+}
+
+void Gateway::onTargets(std::span<const adapter::StoreItem> items, bool mayHaveLapsed)
+{
+    std::vector<fleet::TargetEntry> entries;
+    for (const adapter::StoreItem& item : items) {
+        if (const std::optional<fleet::TargetEntry> entry = decodeTarget(item))
+            entries.push_back(*entry);
+    }
+    m_context.directory.replaceAll(entries, mayHaveLapsed, steadyNow());
+    telemetry::logInfo("targets", "Read the list of targets.",
+        { { "targets", std::to_string(entries.size()) },
+            { "may_have_lapsed", mayHaveLapsed ? "yes" : "no" } });
+}
+
+void Gateway::onTargetChange(const adapter::KeyChange& change, bool mayHaveLapsed)
+{
+    if (const adapter::KeyRemoved* removed = std::get_if<adapter::KeyRemoved>(&change)) {
+        const TargetId id(removed->key.substr(adapter::TargetPrefix.size()));
+        m_context.directory.remove(id, mayHaveLapsed, steadyNow());
+        telemetry::logInfo("targets", "An entry is gone.",
+            { { "target", id.text() }, { "may_have_lapsed", mayHaveLapsed ? "yes" : "no" } });
+        return;
+    }
+    const adapter::StoreItem& item = std::get<adapter::KeyWritten>(change).item;
+    const std::optional<fleet::TargetEntry> entry = decodeTarget(item);
+    if (!entry) {
+        const TargetId id(item.key.substr(adapter::TargetPrefix.size()));
+        m_context.directory.remove(id, false, steadyNow());
+        return;
+    }
+    if (m_context.directory.put(*entry))
+        m_context.ledger.forget(entry->id);
+    telemetry::logInfo("targets", "An entry changed.",
+        { { "target", entry->id.text() }, { "pool", entry->pool.text() },
+            { "address", entry->address.text() },
+            { "state", entry->isLeaving ? "leaving" : "serving" },
+            { "role", entry->role ? std::string(toText(*entry->role)) : "" } });
+}
+
+void Gateway::accept(channels::ConnectionPointer connection)
+{
+    const std::shared_ptr<std::weak_ptr<CallerConnection>> self
+        = std::make_shared<std::weak_ptr<CallerConnection>>();
+    const std::shared_ptr<CallerConnection> caller = std::make_shared<CallerConnection>(
+        m_context, std::move(connection), [this, self] { m_connections.erase(self->lock()); });
+    *self = caller;
+    m_connections.insert(caller);
+    caller->start();
+}
+
+channels::PageServer::Page Gateway::answerReadiness() const
+{
+    const bool isReady
+        = m_context.routes && m_context.directory.size() > 0 && !m_context.isStopping;
+    channels::PageServer::Page page;
+    page.status = isReady ? 200 : 503;
+    return page;
+}
+
+void Gateway::beginStop()
+{
+    if (m_context.isStopping)
+        return;
+    m_context.isStopping = true;
+    m_stopAt = steadyNow() + m_context.settings.stopGrace - ExitMargin;
+    telemetry::logInfo("gateway", "Stopping.",
+        { { "connections", std::to_string(m_connections.size()) },
+            { "grace_ms", std::to_string(m_context.settings.stopGrace.count()) } });
+    m_stopTimer.arm(BalancerNotice, [this] {
+        m_listener->close();
+        closeIdleConnections();
+        checkStopped();
+    });
+}
+
+void Gateway::closeIdleConnections()
+{
+    const std::set<std::shared_ptr<CallerConnection>> connections = m_connections;
+    for (const std::shared_ptr<CallerConnection>& connection : connections)
+        connection->closeWhenIdle();
+}
+
+void Gateway::checkStopped()
+{
+    if (m_connections.empty() || steadyNow() >= m_stopAt) {
+        telemetry::logInfo("gateway", "Stopped.",
+            { { "unfinished", std::to_string(m_connections.size()) } });
+        m_loop.stop();
+        return;
+    }
+    m_stopTimer.arm(StopCheckInterval, [this] { checkStopped(); });
+}
+
+} // namespace citronspoke::gateway
--- /dev/null
+++ b/apps/gateway/Gateway.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "CallerConnection.h"
+
+namespace citronspoke::gateway {
+
+/** The gateway on an entry VM: callers' connections, knowledge of the fleet, readiness, stop. */
+class Gateway {
+public:
+    /** @throws channels::ListenFailed */
+    Gateway(channels::EventLoop& loop, const settings::GatewaySettings& settings);
+
+    void start();
+    /** Serves what has come, takes nothing new after a while, then stops the loop. */
+    void beginStop();
+
+private:
+    void onDeclaration(const adapter::StoreItem& item);
+    void onTargets(std::span<const adapter::StoreItem> items, bool mayHaveLapsed);
+    void onTargetChange(const adapter::KeyChange& change, bool mayHaveLapsed);
+    std::optional<fleet::TargetEntry> decodeTarget(const adapter::StoreItem& item) const;
+    void accept(channels::ConnectionPointer connection);
+    channels::PageServer::Page answerReadiness() const;
+    void closeIdleConnections();
+    void checkStopped();
+
+    channels::EventLoop& m_loop;
+    GatewayContext m_context;
+    channels::ConnectionPool m_storePool;
+    storefeed::StoreFeed m_declarations;
+    storefeed::StoreFeed m_targets;
+    std::unique_ptr<channels::Listener> m_listener;
+    channels::PageServer m_readiness;
+    channels::PageServer m_operator;
+    std::set<std::shared_ptr<CallerConnection>> m_connections;
+    channels::Timer m_stopTimer;
+    SteadyTime m_stopAt;
+};
+
+} // namespace citronspoke::gateway
--- /dev/null
+++ b/apps/gateway/GatewayContext.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "dispatch/Dispatch.h"
+#include "settings/Settings.h"
+#include "storefeed/StoreFeed.h"
+
+#include <random>
+
+namespace citronspoke::gateway {
+
+/** What all requests of a gateway share. It is used by the event loop's thread only. */
+struct GatewayContext {
+    GatewayContext(channels::EventLoop& loop, const settings::GatewaySettings& settings);
+
+    channels::EventLoop& loop;
+    const settings::GatewaySettings& settings;
+    ZoneId zone;
+    channels::ConnectionPool targets;
+    dispatch::TargetDirectory directory;
+    dispatch::CacheLedger ledger;
+    dispatch::RetryAllowance retries;
+    /** None until the operators' declaration is known. */
+    std::shared_ptr<const dispatch::RouteTable> routes;
+    /** When the declaration was last known to be the newest. */
+    std::function<Milliseconds()> declarationAge;
+    bool isStopping = false;
+
+    /** @return uniform in [0, 1). */
+    double draw();
+
+private:
+    std::mt19937_64 m_random;
+};
+
+} // namespace citronspoke::gateway
--- /dev/null
+++ b/apps/gateway/RequestRun.cpp
@@ -0,0 +1,570 @@
+#include "RequestRun.h"
+
+#include "telemetry/Telemetry.h"
+
+namespace citronspoke::gateway {
+
+namespace {
+
+    constexpr uint32_t BadRequest = 400;
+    constexpr uint32_t NotFound = 404;
+    constexpr uint32_t BadGateway = 502;
+    constexpr uint32_t Unavailable = 503;
+    constexpr uint32_t GatewayTimeout = 504;
+
+    /** Attempts for one request, also those that no target ran. */
+    constexpr uint32_t MostAttempts = 5;
+    /** Less time than this is not worth another attempt. */
+    constexpr Milliseconds ShortestAttempt { 20 };
+    /** A declaration that is older may lack a route that the operators have added. */
+    constexpr Milliseconds TrustedDeclarationAge { 4000 };
+    constexpr Milliseconds ShortRetryAfter { 250 };
+    constexpr Milliseconds StartRetryAfter { 1000 };
+    /** The target stops by itself at the deadline; its own answer gets this long to come. */
+    constexpr Milliseconds DeadlineSlack { 30 };
+    /** Idle connections whose lifetime nobody states are used this long for work that must not be
+     * repeated. */
+    constexpr Milliseconds FreshConnection { 500 };
+    constexpr Milliseconds AnyIdle = std::chrono::hours(1);
+
+    std::string_view reasonOf(uint32_t status)
+    {
+        switch (status) {
+        case BadRequest:
+            return "Bad Request";
+        case NotFound:
+            return "Not Found";
+        case BadGateway:
+            return "Bad Gateway";
+        case Unavailable:
+            return "Service Unavailable";
+        case GatewayTimeout:
+            return "Gateway Timeout";
+        default:
+            return "Error";
+        }
+    }
+
+    bool isSuccess(uint32_t status) { return status >= 200 && status < 300; }
+
+    std::string text(Milliseconds duration) { return std::to_string(duration.count()); }
+
+    Milliseconds since(SteadyTime start)
+    {
+        return std::chrono::duration_cast<Milliseconds>(steadyNow() - start);
+    }
+
+    std::string secondsText(Milliseconds duration)
+    {
+        constexpr int64_t MsPerSecond = 1000;
+        const std::string fraction = std::to_string(MsPerSecond + duration.count() % MsPerSecond);
+        return std::to_string(duration.count() / MsPerSecond) + "." + fraction.substr(1);
+    }
+
+} // namespace
+
+RequestRun::RequestRun(GatewayContext& context, ReceivedRequest request, AnswerWriter& writer)
+    : m_context(context)
+    , m_request(std::move(request))
+    , m_writer(&writer)
+    , m_deadlineTimer(context.loop)
+{
+}
+
+RequestRun::~RequestRun() { callerLeft(); }
+
+void RequestRun::start()
+{
+    try {
+        m_terms = adapter::decodeCaller(m_request.head);
+    } catch (const adapter::DocumentUnreadable& unreadable) {
+        refuse(BadRequest, unreadable.describe(), Milliseconds(0));
+        return;
+    }
+    if (!findRoute())
+        return;
+    Milliseconds limit = m_route->timeout;
+    if (m_terms.timeLeft)
+        limit = std::min(limit, *m_terms.timeLeft);
+    m_deadline = m_request.receivedAt + limit;
+    if (m_route->isResumable)
+        m_lastEvent = m_terms.lastEvent;
+    m_context.retries.noteRequest(m_pool->id, steadyNow());
+    telemetry::logInfo("request", "Received.",
+        { { "id", m_terms.attempt.text() }, { "route", m_route->name },
+            { "pool", m_pool->id.text() },
+            { "revision", std::to_string(m_routes->declaration().revision.value()) },
+            { "left_ms", text(timeLeft()) },
+            { "tokens", std::to_string(m_terms.prompt ? m_terms.prompt->tokens : 0) } });
+    const std::weak_ptr<RequestRun> weak = weak_from_this();
+    m_deadlineTimer.arm(timeLeft() + DeadlineSlack, [weak] {
+        if (const std::shared_ptr<RequestRun> self = weak.lock())
+            self->onDeadline();
+    });
+    sendNext();
+}
+
+bool RequestRun::findRoute()
+{
+    m_routes = m_context.routes;
+    if (!m_routes) {
+        refuse(Unavailable, "no declaration is known yet", StartRetryAfter);
+        return false;
+    }
+    m_route = m_routes->match(m_terms.host, m_request.head.target);
+    if (!m_route) {
+        if (m_context.declarationAge() > TrustedDeclarationAge)
+            refuse(Unavailable, "no route in an old declaration", StartRetryAfter);
+        else
+            refuse(NotFound, "no route", Milliseconds(0));
+        return false;
+    }
+    m_pool = m_routes->declaration().pool(dispatch::choosePool(*m_route, m_context.draw()));
+    if (!m_pool) {
+        refuse(Unavailable, "the route's pool is not declared", StartRetryAfter);
+        return false;
+    }
+    return true;
+}
+
+void RequestRun::sendNext()
+{
+    const bool isPrompt = m_pool->engine && m_terms.prompt && m_route->carriesPrompts;
+    bool isSent = false;
+    if (isPrompt)
+        isSent = m_prompt ? sendTokens() : sendPrompt();
+    if (!isSent && !m_prompt)
+        isSent = sendWhole();
+    if (isSent)
+        return;
+    if (m_ranOn.empty())
+        refuse(Unavailable, "no target", ShortRetryAfter);
+    else
+        fail("no other target");
+}
+
+bool RequestRun::sendWhole()
+{
+    std::vector<dispatch::TargetState*> states
+        = m_context.directory.usable(m_pool->id, steadyNow());
+    // An engine that reads prompts for others runs no whole request.
+    std::erase_if(states, [](const dispatch::TargetState* state) {
+        return state->entry.role == EngineRole::Prefill;
+    });
+    dispatch::TargetState* state = dispatch::chooseTarget(
+        states, m_avoided, m_context.zone, m_context.draw(), steadyNow());
+    if (!state)
+        return false;
+    dispatch::Load load { 1, 0, 0 };
+    if (m_terms.prompt)
+        load.cacheTokens = m_terms.prompt->tokens + m_terms.prompt->outputLimit;
+    adapter::TargetTerms terms;
+    terms.stage = adapter::RunWhole {};
+    send(Step::RunWhole, state->entry, load, std::move(terms));
+    return true;
+}
+
+bool RequestRun::sendPrompt()
+{
+    std::vector<dispatch::TargetState*> states
+        = m_context.directory.usable(m_pool->id, steadyNow());
+    const auto isMaker = [](const dispatch::TargetState* state) {
+        return state->entry.role == EngineRole::Decode;
+    };
+    if (std::none_of(states.begin(), states.end(), isMaker))
+        return false;
+    std::erase_if(states, [](const dispatch::TargetState* state) {
+        return state->entry.role != EngineRole::Prefill;
+    });
+    const dispatch::PromptPlacement placement = dispatch::placePrompt(
+        states, *m_terms.prompt, m_context.ledger, m_avoided, steadyNow());
+    if (!placement.engine)
+        return false;
+    adapter::TargetTerms terms;
+    terms.stage = adapter::ReadPrompt {};
+    if (placement.fetchFrom)
+        terms.fetchPartsFrom = placement.fetchFrom->entry.address;
+    send(Step::ReadPrompt, placement.engine->entry, { 1, placement.tokensToRead, 0 },
+        std::move(terms));
+    return true;
+}
+
+bool RequestRun::sendTokens()
+{
+    std::vector<dispatch::TargetState*> states
+        = m_context.directory.usable(m_pool->id, steadyNow());
+    std::erase_if(states, [](const dispatch::TargetState* state) {
+        return state->entry.role != EngineRole::Decode;
+    });
+    dispatch::TargetState* state
+        = dispatch::chooseTokenMaker(states, m_avoided, m_prompt->reader.zone, steadyNow());
+    if (!state)
+        return false;
+    adapter::TargetTerms terms;
+    terms.stage = adapter::MakeTokens { m_prompt->reader.address, m_prompt->handle };
+    const dispatch::Load load { 1, 0, m_terms.prompt->tokens + m_terms.prompt->outputLimit };
+    send(Step::MakeTokens, state->entry, load, std::move(terms));
+    return true;
+}
+
+void RequestRun::send(Step step, const fleet::TargetEntry& target, const dispatch::Load& load,
+    adapter::TargetTerms terms)
+{
+    constexpr std::array<std::string_view, 3> StepNames { "run", "read", "make" };
+    constexpr uint32_t LeastUrgent = 9;
+    m_attempts += 1;
+    m_attempt = std::make_unique<Attempt>();
+    m_attempt->number = m_attempts;
+    m_attempt->step = step;
+    m_attempt->target = target;
+    m_attempt->load = load;
+    m_attempt->startedAt = steadyNow();
+    terms.target = target.id;
+    terms.timeLeft = std::max(Milliseconds(1), timeLeft());
+    terms.lastEvent = m_lastEvent;
+    if (m_pool->engine)
+        terms.priority = std::min(m_route->priority, LeastUrgent);
+    m_context.directory.noteStarted(target.id, load);
+    telemetry::logInfo("request", "Sent.",
+        { { "id", m_terms.attempt.text() }, { "attempt", std::to_string(m_attempts) },
+            { "step", std::string(StepNames[static_cast<size_t>(step)]) },
+            { "target", target.id.text() }, { "address", target.address.text() },
+            { "tokens", std::to_string(load.promptTokens) },
+            { "fetch", terms.fetchPartsFrom ? terms.fetchPartsFrom->text() : "" },
+            { "left_ms", text(terms.timeLeft) } });
+
+    const std::weak_ptr<RequestRun> weak = weak_from_this();
+    const uint32_t number = m_attempts;
+    const auto current = [weak, number]() -> std::shared_ptr<RequestRun> {
+        std::shared_ptr<RequestRun> self = weak.lock();
+        return self && self->m_attempt && self->m_attempt->number == number ? self : nullptr;
+    };
+    channels::Exchange::Handlers handlers;
+    handlers.isOurs = [current](const http1::ResponseHead& head) {
+        const std::shared_ptr<RequestRun> self = current();
+        return !self || self->isOurAnswer(head);
+    };
+    handlers.onHead = [current](const http1::ResponseHead& head) {
+        if (const std::shared_ptr<RequestRun> self = current())
+            self->onHead(head);
+    };
+    handlers.onBody = [current](std::string_view bytes) {
+        if (const std::shared_ptr<RequestRun> self = current())
+            self->onBody(bytes);
+    };
+    handlers.onEnd = [current](channels::ExchangeEnd end) {
+        if (const std::shared_ptr<RequestRun> self = current())
+            self->onEnd(end);
+    };
+    const bool isRepeatable = step == Step::ReadPrompt || m_route->mayRepeat();
+    m_attempt->exchange = m_context.targets.start({ target.address, target.id.text() },
+        adapter::composeTargetRequest(m_request.head, terms, m_request.body.size())
+            + m_request.body,
+        isRepeatable ? AnyIdle : FreshConnection, std::move(handlers));
+}
+
+bool RequestRun::isOurAnswer(const http1::ResponseHead& head) const
+{
+    const RequestId& attempt = adapter::decodeAnswer(head).attempt;
+    return attempt.empty() || attempt == m_terms.attempt;
+}
+
+void RequestRun::onHead(const http1::ResponseHead& head)
+{
+    m_attempt->head = head;
+    m_attempt->terms = adapter::decodeAnswer(head);
+    if (m_attempt->step == Step::ReadPrompt || m_attempt->terms.isNotExecuted)
+        return;
+    if (!isSuccess(head.status) || !m_attempt->terms.isSigned)
+        return;
+    if (m_route->repeatability != fleet::Repeatability::Stream)
+        return;
+    m_attempt->isRelayed = true;
+    if (m_hasBegunAnswer)
+        return;
+    m_hasBegunAnswer = true;
+    m_writer->beginBody(head.status, head.reason, adapter::callerHeaders(head));
+}
+
+void RequestRun::onBody(std::string_view bytes)
+{
+    if (m_attempt->isRelayed)
+        relayEvents(bytes);
+    else
+        m_attempt->body.append(bytes);
+}
+
+void RequestRun::relayEvents(std::string_view bytes)
+{
+    std::string whole;
+    for (const http1::StreamEvent& event : m_attempt->splitter.feed(bytes)) {
+        // A resumed run may begin with an event that the caller already has.
+        if (event.id && m_lastEvent && *event.id <= *m_lastEvent)
+            continue;
+        if (event.id)
+            m_lastEvent = event.id;
+        whole += event.bytes;
+    }
+    if (!whole.empty())
+        m_writer->writeBody(whole);
+}
+
+void RequestRun::onEnd(channels::ExchangeEnd end)
+{
+    const Outcome outcome = judge(end);
+    constexpr std::array<std::string_view, 5> Names { "served", "failed_by_target", "not_executed",
+        "not_sent", "unknown" };
+    telemetry::logInfo("request", "Attempt ended.",
+        { { "id", m_terms.attempt.text() }, { "attempt", std::to_string(m_attempt->number) },
+            { "target", m_attempt->target.id.text() },
+            { "outcome", std::string(Names[static_cast<size_t>(outcome)]) },
+            { "status", std::to_string(m_attempt->head ? m_attempt->head->status : 0) },
+            { "took_ms", text(since(m_attempt->startedAt)) } });
+    afterAttempt(outcome);
+}
+
+RequestRun::Outcome RequestRun::judge(channels::ExchangeEnd end) const
+{
+    if (end == channels::ExchangeEnd::NotSent)
+        return Outcome::NotSent;
+    if (!m_attempt->head)
+        return Outcome::Unknown;
+    if (m_attempt->terms.isNotExecuted)
+        return Outcome::NotExecuted;
+    if (end != channels::ExchangeEnd::Complete)
+        return Outcome::Unknown;
+    if (!isSuccess(m_attempt->head->status))
+        return Outcome::FailedByTarget;
+    if (m_attempt->step == Step::ReadPrompt)
+        return Outcome::Served;
+    // A success without a signature is not the target's answer.
+    if (!m_attempt->terms.isSigned || m_attempt->splitter.hasPartialEvent())
+        return Outcome::Unknown;
+    return Outcome::Served;
+}
+
+void RequestRun::afterAttempt(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Served:
+        endAttempt(dispatch::AttemptResult::Served);
+        break;
+    case Outcome::NotExecuted:
+        endAttempt(dispatch::AttemptResult::Refused);
+        break;
+    case Outcome::NotSent:
+        endAttempt(dispatch::AttemptResult::Unreachable);
+        break;
+    case Outcome::FailedByTarget:
+    case Outcome::Unknown:
+        endAttempt(dispatch::AttemptResult::Failed);
+        break;
+    }
+    if (m_attempt->step == Step::ReadPrompt)
+        afterPrompt(outcome);
+    else
+        afterAnswer(outcome);
+}
+
+void RequestRun::afterPrompt(Outcome outcome)
+{
+    if (outcome == Outcome::Served) {
+        try {
+            m_prompt = ReadyPrompt { m_attempt->target,
+                adapter::decodePromptHandle(m_attempt->body) };
+            m_context.ledger.noteRead(
+                m_attempt->target.id, m_pool->engine->cacheTokens, *m_terms.prompt);
+            // Attempts at makers start with a clean record.
+            m_avoided.clear();
+            sendNext();
+            return;
+        } catch (const adapter::DocumentUnreadable& unreadable) {
+            telemetry::logWarning("request", "Unreadable handle.",
+                { { "id", m_terms.attempt.text() }, { "cause", unreadable.describe() } });
+        }
+    }
+    m_avoided.insert(m_attempt->target.id);
+    // Reading a prompt runs nothing, so that any outcome lets it be read elsewhere.
+    tryAgain(false, "the prompt was not read");
+}
+
+void RequestRun::afterAnswer(Outcome outcome)
+{
+    m_avoided.insert(m_attempt->target.id);
+    switch (outcome) {
+    case Outcome::Served:
+        m_prompt.reset();
+        finishServed();
+        return;
+    case Outcome::FailedByTarget:
+        m_ranOn.insert(m_attempt->target.id);
+        m_prompt.reset();
+        passOnFailure();
+        return;
+    case Outcome::NotExecuted:
+    case Outcome::NotSent:
+        tryAgain(false, "the target did not run it");
+        return;
+    case Outcome::Unknown:
+        m_ranOn.insert(m_attempt->target.id);
+        freePrompt();
+        tryAgain(true, "the target's answer broke off");
+        return;
+    }
+}
+
+void RequestRun::finishServed()
+{
+    const uint32_t status = m_attempt->head->status;
+    if (m_hasBegunAnswer)
+        m_writer->endBody();
+    else
+        m_writer->respond(status, m_attempt->head->reason, adapter::callerHeaders(*m_attempt->head),
+            m_attempt->body);
+    finish("served", status, "");
+}
+
+void RequestRun::passOnFailure()
+{
+    if (m_hasBegunAnswer) {
+        m_writer->abort();
+        finish("broken", m_attempt->head->status, "the resumed run failed");
+        return;
+    }
+    m_writer->respond(m_attempt->head->status, m_attempt->head->reason,
+        adapter::callerHeaders(*m_attempt->head), m_attempt->body);
+    finish("failed_by_target", m_attempt->head->status, "");
+}
+
+void RequestRun::tryAgain(bool mayHaveRun, std::string_view cause)
+{
+    std::string_view obstacle;
+    const bool isSent = !m_attempt->exchange || m_attempt->exchange->isSent();
+    const bool isAllowed = !mayHaveRun || m_route->mayRepeat();
+    if (!isAllowed)
+        obstacle = "it may have run and may not be repeated";
+    if (isAllowed && mayTryAgain(isSent, obstacle)) {
+        sendNext();
+        return;
+    }
+    telemetry::logInfo("request", "No further attempt.",
+        { { "id", m_terms.attempt.text() }, { "cause", std::string(cause) },
+            { "obstacle", std::string(obstacle) } });
+    if (m_ranOn.empty())
+        refuse(Unavailable, cause, ShortRetryAfter);
+    else
+        fail(cause);
+}
+
+bool RequestRun::mayTryAgain(bool isSent, std::string_view& obstacle)
+{
+    if (m_attempts >= MostAttempts)
+        obstacle = "too many attempts";
+    else if (m_ranOn.size() >= m_route->targetLimit)
+        obstacle = "the route's limit of targets";
+    else if (timeLeft() < ShortestAttempt)
+        obstacle = "no time left";
+    else if (isSent && !m_context.retries.trySpend(m_pool->id, steadyNow()))
+        obstacle = "the retry allowance is spent";
+    return obstacle.empty();
+}
+
+void RequestRun::onDeadline()
+{
+    if (m_isOver)
+        return;
+    const bool isRunning = m_attempt && m_attempt->step != Step::ReadPrompt
+        && m_attempt->exchange && m_attempt->exchange->isSent();
+    if (m_hasBegunAnswer) {
+        m_writer->abort();
+        finish("broken", 0, "deadline");
+        return;
+    }
+    if (m_ranOn.empty() && !isRunning) {
+        refuse(Unavailable, "deadline", ShortRetryAfter);
+        return;
+    }
+    m_writer->respond(GatewayTimeout, reasonOf(GatewayTimeout), {}, {});
+    finish("timed_out", GatewayTimeout, "deadline");
+}
+
+void RequestRun::refuse(uint32_t status, std::string_view cause, Milliseconds retryAfter)
+{
+    http1::Headers headers;
+    if (status == Unavailable)
+        headers.add("Retry-After", secondsText(retryAfter));
+    m_writer->respond(status, reasonOf(status), headers, {});
+    finish("refused", status, cause);
+}
+
+void RequestRun::fail(std::string_view cause)
+{
+    if (m_hasBegunAnswer)
+        m_writer->abort();
+    else
+        m_writer->respond(BadGateway, reasonOf(BadGateway), {}, {});
+    finish(m_hasBegunAnswer ? "broken" : "failed", BadGateway, cause);
+}
+
+void RequestRun::finish(std::string_view outcome, uint32_t status, std::string_view cause)
+{
+    m_isOver = true;
+    m_deadlineTimer.cancel();
+    if (m_attempt) {
+        endAttempt(dispatch::AttemptResult::Served);
+        if (m_attempt->exchange)
+            m_attempt->exchange->cancel();
+    }
+    freePrompt();
+    const std::string route = m_route ? m_route->name : "";
+    telemetry::logInfo("request", "Finished.",
+        { { "id", m_terms.attempt.text() }, { "route", route }, { "outcome", std::string(outcome) },
+            { "status", std::to_string(status) }, { "cause", std::string(cause) },
+            { "attempts", std::to_string(m_attempts) }, { "took_ms", text(age()) } });
+    telemetry::count("requests", { { "outcome", std::string(outcome) } });
+    telemetry::observe("request_duration", since(m_request.receivedAt));
+}
+
+void RequestRun::endAttempt(dispatch::AttemptResult result)
+{
+    if (m_attempt->load == dispatch::Load {})
+        return;
+    m_context.directory.noteFinished(m_attempt->target.id, m_attempt->load);
+    m_attempt->load = {};
+    if (!m_isOver)
+        m_context.directory.noteResult(m_attempt->target.id, result, steadyNow());
+}
+
+void RequestRun::freePrompt()
+{
+    if (!m_prompt)
+        return;
+    const fleet::TargetEntry& reader = m_prompt->reader;
+    constexpr Milliseconds FreeLimit { 1000 };
+    // The call owns itself until it ends; a handle that stays lapses by itself.
+    const std::shared_ptr<std::shared_ptr<void>> own = std::make_shared<std::shared_ptr<void>>();
+    *own = channels::call(m_context.loop, m_context.targets, { reader.address, reader.id.text() },
+        adapter::composeCall(adapter::freeHandleCall(m_prompt->handle), reader.address), FreeLimit,
+        [own](const std::optional<channels::CallAnswer>& answer) {
+            if (!answer)
+                telemetry::logWarning("request", "A prompt's cache was not freed.");
+            const std::shared_ptr<void> finished = std::exchange(*own, nullptr);
+        });
+    m_prompt.reset();
+}
+
+void RequestRun::callerLeft()
+{
+    if (m_isOver)
+        return;
+    finish("caller_left", 0, "the caller closed its connection");
+}
+
+Milliseconds RequestRun::timeLeft() const
+{
+    return std::chrono::duration_cast<Milliseconds>(m_deadline - steadyNow());
+}
+
+Milliseconds RequestRun::age() const { return since(m_request.receivedAt); }
+
+} // namespace citronspoke::gateway
--- /dev/null
+++ b/apps/gateway/RequestRun.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "GatewayContext.h"
+
+namespace citronspoke::gateway {
+
+/** A caller's request, read whole. */
+struct ReceivedRequest {
+    http1::RequestHead head;
+    std::string body;
+    SteadyTime receivedAt;
+};
+
+/** Takes the answer to one request back to its caller. */
+class AnswerWriter {
+public:
+    virtual ~AnswerWriter() = default;
+    virtual void respond(uint32_t status, std::string_view reason, const http1::Headers& headers,
+        std::string_view body)
+        = 0;
+    virtual void beginBody(uint32_t status, std::string_view reason, const http1::Headers& headers)
+        = 0;
+    virtual void writeBody(std::string_view bytes) = 0;
+    virtual void endBody() = 0;
+    /** Breaks the answer off so that it cannot look complete. */
+    virtual void abort() = 0;
+};
+
+/**
+ * Serves one request: finds its route, sends it to targets and takes the answer back. Each try at a
+ * target is an attempt; a request that may run once at most gets another attempt only when the one
+ * before has certainly not run.
+ */
+class RequestRun : public std::enable_shared_from_this<RequestRun> {
+public:
+    RequestRun(GatewayContext& context, ReceivedRequest request, AnswerWriter& writer);
+    ~RequestRun();
+    RequestRun(const RequestRun&) = delete;
+    RequestRun& operator=(const RequestRun&) = delete;
+
+    void start();
+    /** The caller has closed its connection. */
+    void callerLeft();
+
+private:
+    /** What an attempt asks of its target. */
+    enum class Step : uint8_t { RunWhole, ReadPrompt, MakeTokens };
+    /** What is known of an attempt when it is over. */
+    enum class Outcome : uint8_t { Served, FailedByTarget, NotExecuted, NotSent, Unknown };
+
+    struct Attempt {
+        uint32_t number = 0;
+        Step step = Step::RunWhole;
+        fleet::TargetEntry target;
+        dispatch::Load load;
+        SteadyTime startedAt;
+        channels::ExchangePointer exchange;
+        std::optional<http1::ResponseHead> head;
+        adapter::AnswerTerms terms;
+        std::string body;
+        http1::EventSplitter splitter;
+        /** Its body goes to the caller as it comes. */
+        bool isRelayed = false;
+    };
+
+    /** A prompt that an engine has read and keeps for another one. */
+    struct ReadyPrompt {
+        fleet::TargetEntry reader;
+        std::string handle;
+    };
+
+    bool findRoute();
+    void sendNext();
+    bool sendWhole();
+    bool sendPrompt();
+    bool sendTokens();
+    void send(Step step, const fleet::TargetEntry& target, const dispatch::Load& load,
+        adapter::TargetTerms terms);
+
+    bool isOurAnswer(const http1::ResponseHead& head) const;
+    void onHead(const http1::ResponseHead& head);
+    void onBody(std::string_view bytes);
+    void relayEvents(std::string_view bytes);
+    void onEnd(channels::ExchangeEnd end);
+
+    Outcome judge(channels::ExchangeEnd end) const;
+    void afterAttempt(Outcome outcome);
+    void afterPrompt(Outcome outcome);
+    void afterAnswer(Outcome outcome);
+    void finishServed();
+    void passOnFailure();
+    /** Tries again or gives up. @param mayHaveRun the attempt may have run. */
+    void tryAgain(bool mayHaveRun, std::string_view cause);
+    bool mayTryAgain(bool isSent, std::string_view& obstacle);
+    void onDeadline();
+
+    void refuse(uint32_t status, std::string_view cause, Milliseconds retryAfter);
+    void fail(std::string_view cause);
+    void finish(std::string_view outcome, uint32_t status, std::string_view cause);
+    void endAttempt(dispatch::AttemptResult result);
+    void freePrompt();
+    Milliseconds timeLeft() const;
+    Milliseconds age() const;
+
+    GatewayContext& m_context;
+    ReceivedRequest m_request;
+    AnswerWriter* m_writer;
+    adapter::CallerTerms m_terms;
+    std::shared_ptr<const dispatch::RouteTable> m_routes;
+    const fleet::Route* m_route = nullptr;
+    const fleet::PoolTraits* m_pool = nullptr;
+    SteadyTime m_deadline;
+    channels::Timer m_deadlineTimer;
+    std::unique_ptr<Attempt> m_attempt;
+    std::optional<ReadyPrompt> m_prompt;
+    uint32_t m_attempts = 0;
+    /** Targets that have, or may have, run the request. */
+    std::set<TargetId> m_ranOn;
+    /** Targets that should not be asked again. */
+    std::set<TargetId> m_avoided;
+    std::optional<uint64_t> m_lastEvent;
+    bool m_hasBegunAnswer = false;
+    bool m_isOver = false;
+};
+
+} // namespace citronspoke::gateway
--- /dev/null
+++ b/libs/channels/src/Call.cpp
@@ -0,0 +1,66 @@
+#include "channels/Channels.h"
+
+namespace citronspoke::channels {
+
+namespace {
+
+    struct PendingCall {
+        explicit PendingCall(EventLoop& loop)
+            : timer(loop)
+        {
+        }
+
+        void finish(std::optional<CallAnswer> result)
+        {
+            if (!handler)
+                return;
+            const CallHandler finished = std::exchange(handler, nullptr);
+            timer.cancel();
+            finished(std::move(result));
+        }
+
+        Timer timer;
+        CallHandler handler;
+        CallAnswer answer;
+        ExchangePointer exchange;
+    };
+
+} // namespace
+
+std::shared_ptr<void> call(EventLoop& loop, ConnectionPool& pool, const PeerKey& peer,
+    std::string request, Milliseconds limit, CallHandler handler)
+{
+    const std::shared_ptr<PendingCall> pending = std::make_shared<PendingCall>(loop);
+    pending->handler = std::move(handler);
+    const std::weak_ptr<PendingCall> weak = pending;
+    Exchange::Handlers handlers;
+    handlers.onHead = [weak](const http1::ResponseHead& head) {
+        if (const std::shared_ptr<PendingCall> self = weak.lock())
+            self->answer.status = head.status;
+    };
+    handlers.onBody = [weak](std::string_view bytes) {
+        if (const std::shared_ptr<PendingCall> self = weak.lock())
+            self->answer.body.append(bytes);
+    };
+    handlers.onEnd = [weak](ExchangeEnd end) {
+        const std::shared_ptr<PendingCall> self = weak.lock();
+        if (!self)
+            return;
+        if (end == ExchangeEnd::Complete)
+            self->finish(std::move(self->answer));
+        else
+            self->finish(std::nullopt);
+    };
+    constexpr Milliseconds AnyIdle = Milliseconds::max() / 1000000;
+    pending->exchange = pool.start(peer, std::move(request), AnyIdle, std::move(handlers));
+    pending->timer.arm(limit, [weak] {
+        const std::shared_ptr<PendingCall> self = weak.lock();
+        if (!self)
+            return;
+        self->exchange->cancel();
+        self->finish(std::nullopt);
+    });
+    return pending;
+}
+
+} // namespace citronspoke::channels
--- /dev/null
+++ b/libs/channels/src/Connection.cpp
@@ -0,0 +1,279 @@
+#include "Loop.h"
+
+#include <array>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace citronspoke::channels {
+
+namespace {
+
+    using Tcp = asio::ip::tcp;
+
+    constexpr size_t ReadBytes = 16384;
+    /** A peer that takes no bytes for so long is gone; shorter than the users' contact bound. */
+    constexpr int UserTimeoutMs = 2000;
+    constexpr int KeepAliveIdleSeconds = 1;
+    constexpr int KeepAliveIntervalSeconds = 1;
+    constexpr int KeepAliveProbes = 2;
+
+    class TcpConnection final : public Connection {
+    public:
+        explicit TcpConnection(asio::io_context& context)
+            : m_socket(context)
+            , m_connectTimer(context)
+        {
+        }
+
+        Tcp::socket& socket() noexcept { return m_socket; }
+
+        void connectTo(const fleet::Address& address, Milliseconds limit)
+        {
+            const std::shared_ptr<TcpConnection> self = shared();
+            m_isConnecting = true;
+            m_connectTimer.expires_after(limit);
+            m_connectTimer.async_wait([self](const asio::error_code& error) {
+                if (!error && self->m_isConnecting)
+                    self->fail(ConnectionEnd::ConnectFailed);
+            });
+            const Tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
+            m_socket.async_connect(endpoint,
+                [self](const asio::error_code& error) { self->onConnected(error); });
+        }
+
+        /** Sets what every connection has; errors mean that the peer has gone meanwhile. */
+        void configure()
+        {
+            asio::error_code ignored;
+            m_socket.set_option(Tcp::no_delay(true), ignored);
+            m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
+            setOption(TCP_USER_TIMEOUT, UserTimeoutMs);
+            setOption(TCP_KEEPIDLE, KeepAliveIdleSeconds);
+            setOption(TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+            setOption(TCP_KEEPCNT, KeepAliveProbes);
+        }
+
+        void start(Handlers handlers) override
+        {
+            m_handlers = std::make_shared<Handlers>(std::move(handlers));
+            if (!m_isConnecting && !m_isReading && !m_isClosed)
+                read();
+        }
+
+        void write(std::string bytes) override
+        {
+            if (m_isClosed)
+                return;
+            m_unsent += bytes.size();
+            m_queued.append(bytes);
+            if (!m_isConnecting && m_writing.empty())
+                writeQueued();
+        }
+
+        size_t unsentBytes() const override { return m_unsent; }
+
+        void closeAfterWrites() override
+        {
+            m_closesAfterWrites = true;
+            if (m_unsent == 0)
+                finishWrites();
+        }
+
+        void close() override
+        {
+            if (m_isClosed)
+                return;
+            m_isClosed = true;
+            asio::error_code ignored;
+            m_connectTimer.cancel();
+            m_socket.close(ignored);
+            m_handlers = std::make_shared<Handlers>();
+        }
+
+    private:
+        std::shared_ptr<TcpConnection> shared()
+        {
+            return std::static_pointer_cast<TcpConnection>(shared_from_this());
+        }
+
+        void setOption(int option, int value)
+        {
+            setsockopt(m_socket.native_handle(), IPPROTO_TCP, option, &value, sizeof value);
+        }
+
+        void onConnected(const asio::error_code& error)
+        {
+            if (m_isClosed || !m_isConnecting)
+                return;
+            if (error) {
+                fail(ConnectionEnd::ConnectFailed);
+                return;
+            }
+            m_isConnecting = false;
+            m_connectTimer.cancel();
+            configure();
+            const std::shared_ptr<TcpConnection> self = shared();
+            const std::shared_ptr<Handlers> handlers = m_handlers;
+            if (handlers->onConnected)
+                handlers->onConnected();
+            if (m_isClosed)
+                return;
+            if (!m_queued.empty() && m_writing.empty())
+                writeQueued();
+            if (!m_isReading)
+                read();
+        }
+
+        void read()
+        {
+            m_isReading = true;
+            m_socket.async_read_some(asio::buffer(m_input),
+                [self = shared()](const asio::error_code& error, size_t size) {
+                    self->onRead(error, size);
+                });
+        }
+
+        void onRead(const asio::error_code& error, size_t size)
+        {
+            m_isReading = false;
+            if (m_isClosed)
+                return;
+            if (error) {
+                const bool isOrderly = error == asio::error::eof;
+                fail(isOrderly ? ConnectionEnd::ClosedByPeer : ConnectionEnd::Broken);
+                return;
+            }
+            const std::shared_ptr<Handlers> handlers = m_handlers;
+            if (handlers->onBytes)
+                handlers->onBytes(std::string_view(m_input.data(), size));
+            if (!m_isClosed && !m_isReading)
+                read();
+        }
+
+        void writeQueued()
+        {
+            m_writing.swap(m_queued);
+            asio::async_write(m_socket, asio::buffer(m_writing),
+                [self = shared()](const asio::error_code& error, size_t size) {
+                    self->onWritten(error, size);
+                });
+        }
+
+        void onWritten(const asio::error_code& error, size_t size)
+        {
+            if (m_isClosed)
+                return;
+            m_unsent -= std::min(m_unsent, size);
+            m_writing.clear();
+            if (error) {
+                fail(ConnectionEnd::Broken);
+                return;
+            }
+            if (!m_queued.empty())
+                writeQueued();
+            else if (m_closesAfterWrites)
+                finishWrites();
+        }
+
+        // Unread input would turn the close into a reset, which can destroy the answer on its
+        // way; so writing ends first and reading goes on until the peer closes.
+        void finishWrites()
+        {
+            if (m_isClosed)
+                return;
+            asio::error_code ignored;
+            m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+            constexpr std::chrono::seconds LingerLimit { 1 };
+            m_connectTimer.expires_after(LingerLimit);
+            m_connectTimer.async_wait([self = shared()](const asio::error_code& error) {
+                if (!error)
+                    self->close();
+            });
+        }
+
+        void fail(ConnectionEnd end)
+        {
+            const std::shared_ptr<TcpConnection> self = shared();
+            const std::shared_ptr<Handlers> handlers = m_handlers;
+            close();
+            if (handlers->onEnd)
+                handlers->onEnd(end);
+        }
+
+        Tcp::socket m_socket;
+        asio::steady_timer m_connectTimer;
+        /** Shared, since a handler may replace the handlers while it runs. */
+        std::shared_ptr<Handlers> m_handlers = std::make_shared<Handlers>();
+        std::array<char, ReadBytes> m_input {};
+        std::string m_queued;
+        std::string m_writing;
+        size_t m_unsent = 0;
+        bool m_isConnecting = false;
+        bool m_isReading = false;
+        bool m_isClosed = false;
+        bool m_closesAfterWrites = false;
+    };
+
+} // namespace
+
+ConnectionPointer connect(EventLoop& loop, const fleet::Address& address, Milliseconds limit)
+{
+    const std::shared_ptr<TcpConnection> connection
+        = std::make_shared<TcpConnection>(loop.implementation().context);
+    connection->connectTo(address, limit);
+    return connection;
+}
+
+struct Listener::Implementation : std::enable_shared_from_this<Listener::Implementation> {
+    Implementation(asio::io_context& context, Handler given)
+        : context(context)
+        , acceptor(context)
+        , handler(std::move(given))
+    {
+    }
+
+    void accept()
+    {
+        const std::shared_ptr<TcpConnection> connection = std::make_shared<TcpConnection>(context);
+        acceptor.async_accept(connection->socket(),
+            [self = shared_from_this(), connection](const asio::error_code& error) {
+                if (!self->acceptor.is_open())
+                    return;
+                if (!error) {
+                    connection->configure();
+                    self->handler(connection);
+                }
+                self->accept();
+            });
+    }
+
+    asio::io_context& context;
+    Tcp::acceptor acceptor;
+    Handler handler;
+};
+
+Listener::Listener(EventLoop& loop, const fleet::Address& address, Handler handler)
+    : m_implementation(
+        std::make_shared<Implementation>(loop.implementation().context, std::move(handler)))
+{
+    try {
+        const Tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
+        m_implementation->acceptor.open(endpoint.protocol());
+        m_implementation->acceptor.set_option(asio::socket_base::reuse_address(true));
+        m_implementation->acceptor.bind(endpoint);
+        m_implementation->acceptor.listen();
+    } catch (const asio::system_error& error) {
+        throw ListenFailed(address.text(), error.code().message());
+    }
+    m_implementation->accept();
+}
+
+Listener::~Listener() { close(); }
+
+void Listener::close()
+{
+    asio::error_code ignored;
+    m_implementation->acceptor.close(ignored);
+}
+
+} // namespace citronspoke::channels
--- /dev/null
+++ b/libs/channels/src/ConnectionPool.cpp
@@ -0,0 +1,315 @@
+#include "channels/Channels.h"
+
+#include "telemetry/Telemetry.h"
+
+#include <list>
+
+namespace citronspoke::channels {
+
+namespace {
+
+    /** Used when the peer does not say how long it keeps an idle connection. */
+    constexpr double LifetimeMargin = 0.8;
+
+    /** One connection to a peer and what is known of its idle lifetime. */
+    struct PooledConnection {
+        ConnectionPointer connection;
+        http1::ResponseParser parser;
+        SteadyTime idleSince;
+        Milliseconds idleLifetime { 0 };
+        bool isReused = false;
+    };
+    using PooledPointer = std::shared_ptr<PooledConnection>;
+
+    std::optional<Milliseconds> statedLifetime(const http1::ResponseHead& head)
+    {
+        constexpr std::string_view Parameter = "timeout=";
+        const std::string_view field = head.headers.find("Keep-Alive").value_or("");
+        const size_t start = field.find(Parameter);
+        if (start == std::string_view::npos)
+            return std::nullopt;
+        int64_t seconds = 0;
+        for (const char digit : field.substr(start + Parameter.size())) {
+            if (digit < '0' || digit > '9')
+                break;
+            seconds = seconds * 10 + (digit - '0');
+        }
+        return std::chrono::seconds(seconds);
+    }
+
+} // namespace
+
+struct ConnectionPool::Implementation : std::enable_shared_from_this<Implementation> {
+    Implementation(EventLoop& given, const Options& chosen)
+        : loop(given)
+        , options(chosen)
+    {
+    }
+
+    PooledPointer takeIdle(const PeerKey& peer, Milliseconds oldestIdle);
+    void keep(const PeerKey& peer, const PooledPointer& pooled);
+    void drop(const PeerKey& peer, const PooledConnection* pooled);
+
+    EventLoop& loop;
+    Options options;
+    std::map<PeerKey, std::list<PooledPointer>> idle;
+    uint64_t made = 0;
+};
+
+namespace {
+
+    class PooledExchange final : public Exchange,
+                                 public std::enable_shared_from_this<PooledExchange> {
+    public:
+        PooledExchange(std::shared_ptr<ConnectionPool::Implementation> pool, PeerKey peer,
+            Handlers handlers)
+            : m_pool(std::move(pool))
+            , m_peer(std::move(peer))
+            , m_handlers(std::move(handlers))
+        {
+        }
+
+        ~PooledExchange() override { cancel(); }
+
+        void begin(PooledPointer pooled, std::string request, bool isConnected)
+        {
+            m_pooled = std::move(pooled);
+            m_isConnected = isConnected;
+            const std::weak_ptr<PooledExchange> weak = weak_from_this();
+            Connection::Handlers handlers;
+            handlers.onConnected = [weak] {
+                if (const std::shared_ptr<PooledExchange> self = weak.lock())
+                    self->m_isConnected = true;
+            };
+            handlers.onBytes = [weak](std::string_view bytes) {
+                if (const std::shared_ptr<PooledExchange> self = weak.lock())
+                    self->onBytes(bytes);
+            };
+            handlers.onEnd = [weak](ConnectionEnd end) {
+                if (const std::shared_ptr<PooledExchange> self = weak.lock())
+                    self->onConnectionEnd(end);
+            };
+            m_pooled->connection->start(std::move(handlers));
+            m_pooled->connection->write(std::move(request));
+        }
+
+        void cancel() override
+        {
+            m_isOver = true;
+            if (m_pooled)
+                std::exchange(m_pooled, nullptr)->connection->close();
+        }
+
+        bool isSent() const noexcept override { return m_isConnected; }
+
+    private:
+        void onBytes(std::string_view bytes)
+        {
+            const std::shared_ptr<PooledExchange> self = shared_from_this();
+            while (!bytes.empty() && !m_isOver) {
+                std::vector<http1::ResponseEvent> events;
+                size_t used = 0;
+                try {
+                    used = m_pooled->parser.feed(bytes, events);
+                } catch (const http1::MessageRejected&) {
+                    // What came before the bad bytes is delivered; the answer stays incomplete.
+                    deliver(events, false);
+                    finish(ExchangeEnd::Broken);
+                    return;
+                }
+                bytes.remove_prefix(used);
+                deliver(events, bytes.empty());
+            }
+        }
+
+        void onConnectionEnd(ConnectionEnd end)
+        {
+            const std::shared_ptr<PooledExchange> self = shared_from_this();
+            if (m_isOver)
+                return;
+            if (end == ConnectionEnd::ConnectFailed) {
+                finish(ExchangeEnd::NotSent);
+                return;
+            }
+            std::vector<http1::ResponseEvent> events;
+            if (end == ConnectionEnd::ClosedByPeer && m_pooled->parser.finish(events))
+                deliver(events, false);
+            if (!m_isOver)
+                finish(ExchangeEnd::Broken);
+        }
+
+        void deliver(std::vector<http1::ResponseEvent>& events, bool isReusable)
+        {
+            for (http1::ResponseEvent& event : events) {
+                if (m_isOver)
+                    return;
+                if (http1::ResponseHead* head = std::get_if<http1::ResponseHead>(&event))
+                    onHead(*head);
+                else if (const http1::BodyPart* part = std::get_if<http1::BodyPart>(&event))
+                    onBody(part->bytes);
+                else
+                    onMessageEnd(isReusable);
+            }
+        }
+
+        void onHead(const http1::ResponseHead& head)
+        {
+            m_isSkipping = m_handlers.isOurs && !m_handlers.isOurs(head);
+            m_isKeptAlive = head.isKeptAlive && head.framing != http1::BodyFraming::UntilClose;
+            m_lifetime = statedLifetime(head);
+            if (!m_isSkipping && m_handlers.onHead)
+                m_handlers.onHead(head);
+        }
+
+        void onBody(std::string_view bytes)
+        {
+            if (!m_isSkipping && m_handlers.onBody)
+                m_handlers.onBody(bytes);
+        }
+
+        void onMessageEnd(bool isReusable)
+        {
+            if (m_isSkipping) {
+                m_isSkipping = false;
+                if (!m_isKeptAlive)
+                    finish(ExchangeEnd::Broken);
+                return;
+            }
+            // Bytes behind the answer, or a request still on its way, spoil the connection.
+            if (isReusable && m_isKeptAlive && m_pooled->connection->unsentBytes() == 0) {
+                m_pooled->idleLifetime = m_pool->options.idleLifetime;
+                if (m_lifetime) {
+                    const Milliseconds stated(
+                        static_cast<int64_t>(LifetimeMargin * static_cast<double>(m_lifetime->count())));
+                    m_pooled->idleLifetime = std::min(m_pooled->idleLifetime, stated);
+                }
+                m_pool->keep(m_peer, std::exchange(m_pooled, nullptr));
+            }
+            finish(ExchangeEnd::Complete);
+        }
+
+        void finish(ExchangeEnd end)
+        {
+            m_isOver = true;
+            if (m_pooled)
+                std::exchange(m_pooled, nullptr)->connection->close();
+            const Handlers handlers = std::move(m_handlers);
+            if (handlers.onEnd)
+                handlers.onEnd(end);
+        }
+
+        std::shared_ptr<ConnectionPool::Implementation> m_pool;
+        PeerKey m_peer;
+        Handlers m_handlers;
+        PooledPointer m_pooled;
+        std::optional<Milliseconds> m_lifetime;
+        bool m_isConnected = false;
+        bool m_isSkipping = false;
+        bool m_isKeptAlive = false;
+        bool m_isOver = false;
+    };
+
+} // namespace
+
+PooledPointer ConnectionPool::Implementation::takeIdle(
+    const PeerKey& peer, Milliseconds oldestIdle)
+{
+    const auto found = idle.find(peer);
+    if (found == idle.end())
+        return nullptr;
+    std::list<PooledPointer>& connections = found->second;
+    const SteadyTime now = steadyNow();
+    // The one used last is the least likely to be closed by the peer now.
+    while (!connections.empty()) {
+        PooledPointer pooled = connections.back();
+        connections.pop_back();
+        const SteadyTime::duration age = now - pooled->idleSince;
+        if (age < pooled->idleLifetime && age < oldestIdle)
+            return pooled;
+        pooled->connection->close();
+    }
+    return nullptr;
+}
+
+void ConnectionPool::Implementation::keep(const PeerKey& peer, const PooledPointer& pooled)
+{
+    std::list<PooledPointer>& connections = idle[peer];
+    pooled->idleSince = steadyNow();
+    pooled->isReused = true;
+    const std::weak_ptr<Implementation> weak = weak_from_this();
+    const PooledConnection* raw = pooled.get();
+    Connection::Handlers handlers;
+    // Bytes on an idle connection belong to no request.
+    handlers.onBytes = [weak, peer, raw](std::string_view) {
+        if (const std::shared_ptr<Implementation> self = weak.lock())
+            self->drop(peer, raw);
+    };
+    handlers.onEnd = [weak, peer, raw](ConnectionEnd) {
+        if (const std::shared_ptr<Implementation> self = weak.lock())
+            self->drop(peer, raw);
+    };
+    pooled->connection->start(std::move(handlers));
+    connections.push_back(pooled);
+    const SteadyTime now = steadyNow();
+    while (!connections.empty()
+        && (connections.size() > options.idlePerPeer
+            || now - connections.front()->idleSince > connections.front()->idleLifetime)) {
+        connections.front()->connection->close();
+        connections.pop_front();
+    }
+}
+
+void ConnectionPool::Implementation::drop(const PeerKey& peer, const PooledConnection* pooled)
+{
+    const auto found = idle.find(peer);
+    if (found == idle.end())
+        return;
+    for (const PooledPointer& candidate : found->second) {
+        if (candidate.get() != pooled)
+            continue;
+        const PooledPointer kept = candidate;
+        found->second.remove(kept);
+        kept->connection->close();
+        break;
+    }
+    if (found->second.empty())
+        idle.erase(found);
+}
+
+ConnectionPool::ConnectionPool(EventLoop& loop, const Options& options)
+    : m_implementation(std::make_shared<Implementation>(loop, options))
+{
+}
+
+ConnectionPool::~ConnectionPool() = default;
+
+ExchangePointer ConnectionPool::start(const PeerKey& peer, std::string request,
+    Milliseconds oldestIdle, Exchange::Handlers handlers)
+{
+    const std::shared_ptr<PooledExchange> exchange
+        = std::make_shared<PooledExchange>(m_implementation, peer, std::move(handlers));
+    PooledPointer pooled = m_implementation->takeIdle(peer, oldestIdle);
+    const bool isReused = pooled != nullptr;
+    if (!isReused) {
+        pooled = std::make_shared<PooledConnection>();
+        pooled->connection
+            = connect(m_implementation->loop, peer.address, m_implementation->options.connectTimeout);
+        m_implementation->made += 1;
+    }
+    exchange->begin(std::move(pooled), std::move(request), isReused);
+    return exchange;
+}
+
+void ConnectionPool::forget(const PeerKey& peer)
+{
+    const auto found = m_implementation->idle.find(peer);
+    if (found == m_implementation->idle.end())
+        return;
+    for (const PooledPointer& pooled : found->second)
+        pooled->connection->close();
+    m_implementation->idle.erase(found);
+}
+
+uint64_t ConnectionPool::connectionsMade() const noexcept { return m_implementation->made; }
+
+} // namespace citronspoke::channels
--- /dev/null
+++ b/libs/channels/src/EventLoop.cpp
@@ -0,0 +1,75 @@
+#include "Loop.h"
+
+namespace citronspoke::channels {
+
+void EventLoop::Implementation::waitForSignal()
+{
+    signals->async_wait([this](const asio::error_code& error, int signal) {
+        if (error)
+            return;
+        signalHandler(signal);
+        waitForSignal();
+    });
+}
+
+EventLoop::EventLoop()
+    : m_implementation(std::make_unique<Implementation>())
+{
+}
+
+EventLoop::~EventLoop() = default;
+
+void EventLoop::run() { m_implementation->context.run(); }
+
+void EventLoop::stop() { m_implementation->context.stop(); }
+
+void EventLoop::post(std::function<void()> task)
+{
+    asio::post(m_implementation->context, std::move(task));
+}
+
+void EventLoop::onSignals(std::span<const int> signals, std::function<void(int)> handler)
+{
+    m_implementation->signals = std::make_unique<asio::signal_set>(m_implementation->context);
+    for (const int signal : signals)
+        m_implementation->signals->add(signal);
+    m_implementation->signalHandler = std::move(handler);
+    m_implementation->waitForSignal();
+}
+
+struct Timer::Implementation {
+    explicit Implementation(asio::io_context& context)
+        : timer(context)
+    {
+    }
+    asio::steady_timer timer;
+    /** Distinguishes a callback that was already queued when the timer was armed anew. */
+    uint64_t generation = 0;
+};
+
+Timer::Timer(EventLoop& loop)
+    : m_implementation(std::make_shared<Implementation>(loop.implementation().context))
+{
+}
+
+Timer::~Timer() { cancel(); }
+
+void Timer::arm(Milliseconds delay, std::function<void()> callback)
+{
+    m_implementation->generation += 1;
+    m_implementation->timer.expires_after(std::max(delay, Milliseconds(0)));
+    m_implementation->timer.async_wait(
+        [state = m_implementation, generation = m_implementation->generation,
+            callback = std::move(callback)](const asio::error_code& error) {
+            if (!error && state->generation == generation)
+                callback();
+        });
+}
+
+void Timer::cancel()
+{
+    m_implementation->generation += 1;
+    m_implementation->timer.cancel();
+}
+
+} // namespace citronspoke::channels
--- /dev/null
+++ b/libs/channels/src/PageServer.cpp
@@ -0,0 +1,97 @@
+#include "channels/Channels.h"
+
+#include <set>
+
+namespace citronspoke::channels {
+
+namespace {
+
+    /** Answers the requests of one connection. */
+    class PageConnection final {
+    public:
+        PageConnection(ConnectionPointer connection, const PageServer::Handler& handler)
+            : m_connection(std::move(connection))
+            , m_handler(handler)
+            , m_parser(http1::MessageLimits {})
+        {
+        }
+
+        Connection& connection() { return *m_connection; }
+
+        /** @return false when the connection must be closed. */
+        bool onBytes(std::string_view bytes)
+        {
+            while (!bytes.empty()) {
+                std::vector<http1::RequestEvent> events;
+                try {
+                    bytes.remove_prefix(m_parser.feed(bytes, events));
+                } catch (const http1::MessageRejected&) {
+                    return false;
+                }
+                for (const http1::RequestEvent& event : events) {
+                    if (const http1::RequestHead* head = std::get_if<http1::RequestHead>(&event))
+                        m_path = head->target;
+                    else if (std::holds_alternative<http1::MessageEnd>(event))
+                        answer();
+                }
+            }
+            return true;
+        }
+
+    private:
+        void answer()
+        {
+            const PageServer::Page page = m_handler(m_path);
+            http1::Headers headers;
+            headers.add("Content-Type", page.contentType);
+            headers.add("Content-Length", std::to_string(page.body.size()));
+            const std::string_view reason = page.status == 200 ? "OK" : "Service Unavailable";
+            m_connection->write(http1::composeResponse(page.status, reason, headers) + page.body);
+        }
+
+        ConnectionPointer m_connection;
+        const PageServer::Handler& m_handler;
+        http1::RequestParser m_parser;
+        std::string m_path;
+    };
+
+} // namespace
+
+struct PageServer::Implementation {
+    Implementation(EventLoop& loop, const fleet::Address& address, Handler given)
+        : handler(std::move(given))
+        , listener(loop, address, [this](ConnectionPointer connection) {
+            accept(std::move(connection));
+        })
+    {
+    }
+
+    void accept(ConnectionPointer connection)
+    {
+        const std::shared_ptr<PageConnection> page
+            = std::make_shared<PageConnection>(connection, handler);
+        connections.insert(page);
+        Connection::Handlers handlers;
+        handlers.onBytes = [this, page](std::string_view bytes) {
+            if (!page->onBytes(bytes)) {
+                page->connection().close();
+                connections.erase(page);
+            }
+        };
+        handlers.onEnd = [this, page](ConnectionEnd) { connections.erase(page); };
+        connection->start(std::move(handlers));
+    }
+
+    Handler handler;
+    std::set<std::shared_ptr<PageConnection>> connections;
+    Listener listener;
+};
+
+PageServer::PageServer(EventLoop& loop, const fleet::Address& address, Handler handler)
+    : m_implementation(std::make_unique<Implementation>(loop, address, std::move(handler)))
+{
+}
+
+PageServer::~PageServer() = default;
+
+} // namespace citronspoke::channels
--- /dev/null
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -0,0 +1,204 @@
+#pragma once
+
+#include "fleet/Fleet.h"
+
+#include <deque>
+#include <list>
+#include <map>
+#include <set>
+#include <span>
+#include <unordered_map>
+
+/**
+ * Where work goes on the users' platform: routes, targets, prompt placement, retries and roles.
+ * Pure code: state and time in, decision out; no input or output, threads or clock.
+ */
+namespace citronspoke::dispatch {
+
+/** Finds the route of a request. */
+class RouteTable {
+public:
+    explicit RouteTable(fleet::Declaration declaration);
+    const fleet::Declaration& declaration() const noexcept { return m_declaration; }
+    /** @return the route of that host with the longest prefix of the path; null when none. */
+    const fleet::Route* match(std::string_view host, std::string_view path) const;
+
+private:
+    fleet::Declaration m_declaration;
+    /** Routes by host, longest prefix first. */
+    std::map<std::string, std::vector<size_t>, std::less<>> m_byHost;
+};
+
+/** @param draw uniform in [0, 1). @return the pool that serves this request. */
+const PoolId& choosePool(const fleet::Route& route, double draw);
+
+/** Work in flight at one target. */
+struct Load {
+    uint32_t requests = 0;
+    /** Prompt tokens that still have to be read. */
+    uint64_t promptTokens = 0;
+    /** Tokens that running requests hold in memory. */
+    uint64_t cacheTokens = 0;
+
+    Load& operator+=(const Load& other);
+    /** Takes off what was added before. */
+    Load& operator-=(const Load& other);
+    bool operator==(const Load&) const = default;
+};
+
+/** How an attempt at a target went, as far as the target's health is concerned. */
+enum class AttemptResult : uint8_t { Served, Refused, Failed, Unreachable };
+
+/** One target as this process knows it. */
+struct TargetState {
+    fleet::TargetEntry entry;
+    /** Work that this process has sent and that is not finished. */
+    Load own;
+    /** Work of the other entries, as they last said. */
+    Load peers;
+    uint32_t failuresInRow = 0;
+    /** No work before this time, unless there is no other target. */
+    SteadyTime avoidUntil {};
+    /** Set when the entry is missing from the store and may only have lapsed. */
+    std::optional<SteadyTime> missingSince;
+
+    Load load() const;
+};
+
+/** What is known of the targets, by their entries in the store and by own attempts. */
+class TargetDirectory {
+public:
+    /** How long a missing entry may be back after the store was away; from the users' pages. */
+    static constexpr Milliseconds ReturnGrace { 2000 };
+
+    /** Takes over one entry. @return whether the target is new or has started again. */
+    bool put(const fleet::TargetEntry& entry);
+    /**
+     * An entry is gone.
+     * @param mayHaveLapsed the store was away a moment ago, so the target may still be there.
+     */
+    void remove(const TargetId& id, bool mayHaveLapsed, SteadyTime now);
+    /** Takes over the whole list; entries that are missing from it are removed. */
+    void replaceAll(std::span<const fleet::TargetEntry> entries, bool mayHaveLapsed, SteadyTime now);
+    /** Forgets entries that did not return in time. */
+    void expire(SteadyTime now);
+
+    /** @return the targets of a pool that may get new work, in the order of their ids. */
+    std::vector<TargetState*> usable(const PoolId& pool, SteadyTime now);
+    /** @return null when no such target is known. */
+    TargetState* find(const TargetId& id);
+    size_t size() const noexcept { return m_targets.size(); }
+    const std::map<TargetId, TargetState>& targets() const noexcept { return m_targets; }
+
+    void noteStarted(const TargetId& id, const Load& load);
+    void noteFinished(const TargetId& id, const Load& load);
+    void noteResult(const TargetId& id, AttemptResult result, SteadyTime now);
+
+private:
+    std::map<TargetId, TargetState> m_targets;
+};
+
+/**
+ * Chooses a target for a request without a prompt: the least loaded for its slots, own zone first
+ * among equals. Targets that lately failed come last.
+ * @param tried targets that must not be asked again.
+ * @param draw uniform in [0, 1); decides among equals.
+ * @return null when there is none.
+ */
+TargetState* chooseTarget(std::span<TargetState* const> candidates, const std::set<TargetId>& tried,
+    const ZoneId& ownZone, double draw, SteadyTime now);
+
+/** Which engines keep which parts of prompts, as far as this process has sent them there. */
+class CacheLedger {
+public:
+    /** An engine has read or fetched the parts of a prompt. */
+    void noteRead(const TargetId& engine, uint64_t capacityTokens, const fleet::Prompt& prompt);
+    /** The engine has started again and holds nothing. */
+    void forget(const TargetId& engine);
+    /** @return tokens at the start of the prompt that the engine has. */
+    uint64_t cachedTokens(const TargetId& engine, const fleet::Prompt& prompt) const;
+
+private:
+    struct Part {
+        std::string id;
+        uint32_t tokens = 0;
+    };
+    struct EngineCache {
+        /** Least recently used first. */
+        std::list<Part> parts;
+        std::unordered_map<std::string, std::list<Part>::iterator> byId;
+        uint64_t tokens = 0;
+    };
+    std::map<TargetId, EngineCache> m_engines;
+};
+
+/** Where a prompt is read. */
+struct PromptPlacement {
+    TargetState* engine = nullptr;
+    /** Has shared parts that the chosen engine lacks. */
+    const TargetState* fetchFrom = nullptr;
+    /** Tokens that the chosen engine is expected to read. */
+    uint64_t tokensToRead = 0;
+};
+
+/**
+ * Chooses an engine to read a prompt: the one that is expected to be done first. Shared parts have
+ * a home engine, the same for all entries without talk; another engine fetches them from there.
+ */
+PromptPlacement placePrompt(std::span<TargetState* const> readers, const fleet::Prompt& prompt,
+    const CacheLedger& ledger, const std::set<TargetId>& tried, SteadyTime now);
+
+/**
+ * Chooses an engine to make tokens: the one with the most free memory, near the reader.
+ * @param zone of the engine that has read the prompt.
+ */
+TargetState* chooseTokenMaker(std::span<TargetState* const> makers, const std::set<TargetId>& tried,
+    const ZoneId& zone, SteadyTime now);
+
+/**
+ * This entry's part of the retries that all entries together may make: a share of its own requests
+ * and an even part of the fixed allowance, within a sliding window.
+ */
+class RetryAllowance {
+public:
+    struct Limits {
+        double share = 0;
+        double fixedPart = 0;
+        Milliseconds window { 10000 };
+    };
+
+    explicit RetryAllowance(const Limits& limits);
+    void updateEntries(uint32_t entries);
+    void noteRequest(const PoolId& pool, SteadyTime now);
+    /** @return false when the allowance of that pool is spent; the retry must not be made. */
+    bool trySpend(const PoolId& pool, SteadyTime now);
+
+private:
+    struct History {
+        std::deque<SteadyTime> requests;
+        std::deque<SteadyTime> retries;
+    };
+    void dropOld(History& history, SteadyTime now) const;
+
+    Limits m_limits;
+    uint32_t m_entries = 0;
+    std::map<PoolId, History> m_pools;
+};
+
+/** Divides the engines of a pool between reading prompts and making tokens. */
+struct RolePlan {
+    /** Engines that make tokens, for each engine of the pool. */
+    double makersShare = 1.0 / 6;
+    uint32_t fewestMakers = 1;
+
+    uint32_t makers(size_t engines) const;
+};
+
+/**
+ * @param engines of one pool, in any order; engines without a role take no part.
+ * @return the role that the engine should have; none when its role should stay as it is.
+ */
+std::optional<EngineRole> planRole(
+    const RolePlan& plan, std::span<const fleet::TargetEntry> engines, const TargetId& engine);
+
+} // namespace citronspoke::dispatch
--- /dev/null
+++ b/libs/dispatch/src/RouteTable.cpp
@@ -0,0 +1,49 @@
+#include "dispatch/Dispatch.h"
+
+#include <algorithm>
+
+namespace citronspoke::dispatch {
+
+RouteTable::RouteTable(fleet::Declaration declaration)
+    : m_declaration(std::move(declaration))
+{
+    const std::vector<fleet::Route>& routes = m_declaration.routes;
+    for (size_t index = 0; index < routes.size(); ++index)
+        m_byHost[routes[index].host].push_back(index);
+    for (auto& [host, indices] : m_byHost) {
+        std::stable_sort(indices.begin(), indices.end(), [&routes](size_t left, size_t right) {
+            return routes[left].pathPrefix.size() > routes[right].pathPrefix.size();
+        });
+    }
+}
+
+const fleet::Route* RouteTable::match(std::string_view host, std::string_view path) const
+{
+    const auto found = m_byHost.find(host);
+    if (found == m_byHost.end())
+        return nullptr;
+    path = path.substr(0, path.find('?'));
+    for (const size_t index : found->second) {
+        const fleet::Route& route = m_declaration.routes[index];
+        if (path.starts_with(route.pathPrefix))
+            return &route;
+    }
+    return nullptr;
+}
+
+const PoolId& choosePool(const fleet::Route& route, double draw)
+{
+    require(!route.pools.empty(), "a route has a pool");
+    double total = 0;
+    for (const fleet::PoolShare& share : route.pools)
+        total += share.weight;
+    double rest = draw * total;
+    for (const fleet::PoolShare& share : route.pools) {
+        if (rest < share.weight)
+            return share.pool;
+        rest -= share.weight;
+    }
+    return route.pools.back().pool;
+}
+
+} // namespace citronspoke::dispatch
--- /dev/null
+++ b/libs/dispatch/src/TargetDirectory.cpp
@@ -0,0 +1,169 @@
+#include "dispatch/Dispatch.h"
+
+#include <algorithm>
+
+namespace citronspoke::dispatch {
+
+namespace {
+
+    constexpr Milliseconds FirstAvoidance { 250 };
+    constexpr Milliseconds LongestAvoidance { 4000 };
+    /** A single failure can be the request's own; a second one in a row is the target's. */
+    constexpr uint32_t ToleratedFailures = 1;
+
+    Milliseconds avoidanceAfter(uint32_t failuresInRow)
+    {
+        const uint32_t doublings = std::min(failuresInRow, 8U);
+        return std::min(LongestAvoidance, FirstAvoidance * (1 << doublings));
+    }
+
+} // namespace
+
+Load& Load::operator+=(const Load& other)
+{
+    requests += other.requests;
+    promptTokens += other.promptTokens;
+    cacheTokens += other.cacheTokens;
+    return *this;
+}
+
+Load& Load::operator-=(const Load& other)
+{
+    requests -= std::min(requests, other.requests);
+    promptTokens -= std::min(promptTokens, other.promptTokens);
+    cacheTokens -= std::min(cacheTokens, other.cacheTokens);
+    return *this;
+}
+
+Load TargetState::load() const
+{
+    Load sum = own;
+    sum += peers;
+    return sum;
+}
+
+bool TargetDirectory::put(const fleet::TargetEntry& entry)
+{
+    TargetState& state = m_targets[entry.id];
+    const bool isSameLife = state.entry.id == entry.id && state.entry.startedAt == entry.startedAt
+        && state.entry.address == entry.address;
+    if (!isSameLife)
+        state = TargetState {};
+    state.entry = entry;
+    state.missingSince.reset();
+    return !isSameLife;
+}
+
+void TargetDirectory::remove(const TargetId& id, bool mayHaveLapsed, SteadyTime now)
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end())
+        return;
+    if (!mayHaveLapsed)
+        m_targets.erase(found);
+    else if (!found->second.missingSince)
+        found->second.missingSince = now;
+}
+
+void TargetDirectory::replaceAll(
+    std::span<const fleet::TargetEntry> entries, bool mayHaveLapsed, SteadyTime now)
+{
+    std::set<TargetId> present;
+    for (const fleet::TargetEntry& entry : entries) {
+        present.insert(entry.id);
+        put(entry);
+    }
+    std::vector<TargetId> missing;
+    for (const auto& [id, state] : m_targets) {
+        if (!present.contains(id))
+            missing.push_back(id);
+    }
+    for (const TargetId& id : missing)
+        remove(id, mayHaveLapsed, now);
+}
+
+void TargetDirectory::expire(SteadyTime now)
+{
+    std::erase_if(m_targets, [now](const auto& item) {
+        const TargetState& state = item.second;
+        return state.missingSince && now - *state.missingSince >= ReturnGrace;
+    });
+}
+
+std::vector<TargetState*> TargetDirectory::usable(const PoolId& pool, SteadyTime now)
+{
+    expire(now);
+    std::vector<TargetState*> states;
+    for (auto& [id, state] : m_targets) {
+        if (state.entry.pool == pool && !state.entry.isLeaving)
+            states.push_back(&state);
+    }
+    return states;
+}
+
+TargetState* TargetDirectory::find(const TargetId& id)
+{
+    const auto found = m_targets.find(id);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+void TargetDirectory::noteStarted(const TargetId& id, const Load& load)
+{
+    if (TargetState* state = find(id))
+        state->own += load;
+}
+
+void TargetDirectory::noteFinished(const TargetId& id, const Load& load)
+{
+    if (TargetState* state = find(id))
+        state->own -= load;
+}
+
+void TargetDirectory::noteResult(const TargetId& id, AttemptResult result, SteadyTime now)
+{
+    TargetState* state = find(id);
+    if (!state)
+        return;
+    switch (result) {
+    case AttemptResult::Served:
+        state->failuresInRow = 0;
+        state->avoidUntil = {};
+        return;
+    case AttemptResult::Refused:
+        // A full target is left alone for a moment; it is not ill.
+        state->avoidUntil = now + FirstAvoidance;
+        return;
+    case AttemptResult::Failed:
+        state->failuresInRow += 1;
+        if (state->failuresInRow > ToleratedFailures)
+            state->avoidUntil = now + avoidanceAfter(state->failuresInRow);
+        return;
+    case AttemptResult::Unreachable:
+        state->failuresInRow += 1;
+        state->avoidUntil = now + avoidanceAfter(state->failuresInRow);
+        return;
+    }
+}
+
+TargetState* chooseTarget(std::span<TargetState* const> candidates, const std::set<TargetId>& tried,
+    const ZoneId& ownZone, double draw, SteadyTime now)
+{
+    TargetState* best = nullptr;
+    std::tuple<bool, double, bool> bestRank;
+    const size_t first = static_cast<size_t>(draw * static_cast<double>(candidates.size()));
+    for (size_t step = 0; step < candidates.size(); ++step) {
+        TargetState* state = candidates[(first + step) % candidates.size()];
+        if (tried.contains(state->entry.id))
+            continue;
+        const double fullness = static_cast<double>(state->load().requests) / state->entry.slots;
+        const std::tuple<bool, double, bool> rank(
+            state->avoidUntil > now, fullness, state->entry.zone != ownZone);
+        if (!best || rank < bestRank) {
+            best = state;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+} // namespace citronspoke::dispatch
--- /dev/null
+++ b/libs/fleet/src/Fleet.cpp
@@ -0,0 +1,30 @@
+#include "fleet/Fleet.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace citronspoke::fleet {
+
+std::optional<Address> parseAddress(std::string_view text)
+{
+    const size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return std::nullopt;
+    Address address;
+    address.ip = text.substr(0, colon);
+    const std::string_view port = text.substr(colon + 1);
+    const std::from_chars_result result
+        = std::from_chars(port.data(), port.data() + port.size(), address.port);
+    if (result.ec != std::errc() || result.ptr != port.data() + port.size() || address.port == 0)
+        return std::nullopt;
+    return address;
+}
+
+const PoolTraits* Declaration::pool(const PoolId& id) const
+{
+    const auto found = std::find_if(
+        pools.begin(), pools.end(), [&id](const PoolTraits& pool) { return pool.id == id; });
+    return found == pools.end() ? nullptr : &*found;
+}
+
+} // namespace citronspoke::fleet
--- /dev/null
+++ b/libs/http1/src/EventSplitter.cpp
@@ -0,0 +1,52 @@
+#include "http1/Http1.h"
+
+#include <charconv>
+
+namespace citronspoke::http1 {
+
+namespace {
+
+    constexpr std::string_view EventEnd = "\n\n";
+    constexpr std::string_view IdField = "id:";
+
+    std::optional<uint64_t> idOf(std::string_view event)
+    {
+        size_t start = 0;
+        while (start < event.size()) {
+            const size_t end = std::min(event.find('\n', start), event.size());
+            std::string_view line = event.substr(start, end - start);
+            start = end + 1;
+            if (!line.starts_with(IdField))
+                continue;
+            line.remove_prefix(IdField.size());
+            while (line.starts_with(' '))
+                line.remove_prefix(1);
+            uint64_t id = 0;
+            const std::from_chars_result result
+                = std::from_chars(line.data(), line.data() + line.size(), id);
+            if (result.ec == std::errc())
+                return id;
+        }
+        return std::nullopt;
+    }
+
+} // namespace
+
+std::vector<StreamEvent> EventSplitter::feed(std::string_view bytes)
+{
+    m_pending.append(bytes);
+    std::vector<StreamEvent> events;
+    size_t start = 0;
+    for (size_t end = m_pending.find(EventEnd); end != std::string::npos;
+         end = m_pending.find(EventEnd, start)) {
+        const size_t next = end + EventEnd.size();
+        StreamEvent event { m_pending.substr(start, next - start), std::nullopt };
+        event.id = idOf(event.bytes);
+        events.push_back(std::move(event));
+        start = next;
+    }
+    m_pending.erase(0, start);
+    return events;
+}
+
+} // namespace citronspoke::http1
--- /dev/null
+++ b/libs/http1/src/Headers.cpp
@@ -0,0 +1,128 @@
+#include "http1/Http1.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace citronspoke::http1 {
+
+namespace {
+
+    constexpr std::array<std::string_view, 9> ConnectionFields { "connection", "keep-alive",
+        "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+        "transfer-encoding", "upgrade" };
+
+    bool isSameLetter(char left, char right)
+    {
+        return std::tolower(static_cast<unsigned char>(left))
+            == std::tolower(static_cast<unsigned char>(right));
+    }
+
+    std::vector<std::string> namedByConnection(const Headers& headers)
+    {
+        std::vector<std::string> names;
+        for (const Header& header : headers.entries()) {
+            if (!equalsIgnoringCase(header.name, "connection"))
+                continue;
+            std::string name;
+            for (const char letter : header.value + ",") {
+                if (letter != ',' && letter != ' ' && letter != '\t')
+                    name.push_back(letter);
+                else if (letter == ',' && !name.empty())
+                    names.push_back(std::exchange(name, {}));
+            }
+        }
+        return names;
+    }
+
+} // namespace
+
+std::string MessageRejected::describe() const
+{
+    switch (m_fault) {
+    case ParseFault::Malformed:
+        return "The peer sent bytes that are not HTTP/1.1.";
+    case ParseFault::HeadTooLarge:
+        return "The head of the message is larger than allowed.";
+    case ParseFault::BodyTooLarge:
+        return "The body of the message is larger than allowed.";
+    }
+    return {};
+}
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right) noexcept
+{
+    return left.size() == right.size()
+        && std::equal(left.begin(), left.end(), right.begin(), isSameLetter);
+}
+
+void Headers::add(std::string_view name, std::string_view value)
+{
+    m_entries.push_back({ std::string(name), std::string(value) });
+}
+
+void Headers::remove(std::string_view name)
+{
+    std::erase_if(m_entries,
+        [name](const Header& header) { return equalsIgnoringCase(header.name, name); });
+}
+
+std::optional<std::string_view> Headers::find(std::string_view name) const
+{
+    for (const Header& header : m_entries) {
+        if (equalsIgnoringCase(header.name, name))
+            return header.value;
+    }
+    return std::nullopt;
+}
+
+size_t Headers::count(std::string_view name) const
+{
+    return static_cast<size_t>(std::count_if(m_entries.begin(), m_entries.end(),
+        [name](const Header& header) { return equalsIgnoringCase(header.name, name); }));
+}
+
+void removeConnectionFields(Headers& headers)
+{
+    const std::vector<std::string> named = namedByConnection(headers);
+    for (const std::string_view name : ConnectionFields)
+        headers.remove(name);
+    for (const std::string& name : named)
+        headers.remove(name);
+}
+
+namespace {
+
+    std::string composeHead(std::string start, const Headers& headers)
+    {
+        for (const Header& header : headers.entries())
+            start.append(header.name).append(": ").append(header.value).append("\r\n");
+        return start.append("\r\n");
+    }
+
+} // namespace
+
+std::string composeRequest(std::string_view method, std::string_view target, const Headers& headers)
+{
+    std::string start(method);
+    start.append(" ").append(target).append(" HTTP/1.1\r\n");
+    return composeHead(std::move(start), headers);
+}
+
+std::string composeResponse(uint32_t status, std::string_view reason, const Headers& headers)
+{
+    std::string start = "HTTP/1.1 " + std::to_string(status);
+    start.append(" ").append(reason).append("\r\n");
+    return composeHead(std::move(start), headers);
+}
+
+std::string composeChunk(std::string_view bytes)
+{
+    constexpr std::string_view Digits = "0123456789abcdef";
+    std::string size;
+    for (size_t rest = bytes.size(); rest > 0; rest /= Digits.size())
+        size.insert(size.begin(), Digits[rest % Digits.size()]);
+    return size.append("\r\n").append(bytes).append("\r\n");
+}
+
+} // namespace citronspoke::http1
--- /dev/null
+++ b/libs/http1/src/RequestParser.cpp
@@ -0,0 +1,150 @@
+#include "MessageState.h"
+
+#include <algorithm>
+
+namespace citronspoke::http1 {
+
+namespace {
+
+    constexpr std::string_view HeadEnd = "\r\n\r\n";
+    constexpr std::string_view LineEnd = "\r\n";
+
+} // namespace
+
+struct RequestParser::State {
+    explicit State(const MessageLimits& given)
+        : limits(given)
+    {
+        message.owner = this;
+        message.resetFor(HTTP_REQUEST);
+        settings = baseSettings();
+        settings.on_headers_complete = onHeadersComplete;
+        settings.on_body = onBody;
+        settings.on_message_complete = onMessageComplete;
+    }
+
+    static State& of(http_parser* parser)
+    {
+        return *static_cast<State*>(static_cast<MessageState*>(parser->data)->owner);
+    }
+
+    static int onHeadersComplete(http_parser* parser)
+    {
+        State& state = of(parser);
+        MessageState& message = state.message;
+        message.finishHeader();
+        message.isHeadDone = true;
+        RequestHead head;
+        head.method = http_method_str(static_cast<http_method>(parser->method));
+        head.target = message.start;
+        head.headers = std::move(message.headers);
+        head.isKeptAlive = http_should_keep_alive(parser) != 0;
+        const std::optional<std::string_view> expected = head.headers.find("expect");
+        head.expectsContinue = expected && equalsIgnoringCase(*expected, "100-continue");
+        if (head.headers.count("host") != 1 || head.headers.count("content-length") > 1)
+            return 1;
+        const bool hasLength = parser->content_length != std::numeric_limits<uint64_t>::max();
+        if (hasLength && parser->content_length > state.limits.bodyBytes)
+            state.isBodyTooLarge = true;
+        state.events->push_back(std::move(head));
+        return 0;
+    }
+
+    static int onBody(http_parser* parser, const char* bytes, size_t size)
+    {
+        State& state = of(parser);
+        state.bodyBytes += size;
+        if (state.bodyBytes > state.limits.bodyBytes)
+            state.isBodyTooLarge = true;
+        else
+            state.events->push_back(BodyPart { std::string(bytes, size) });
+        return 0;
+    }
+
+    static int onMessageComplete(http_parser* parser)
+    {
+        State& state = of(parser);
+        state.message.isDone = true;
+        state.events->push_back(MessageEnd {});
+        http_parser_pause(parser, 1);
+        return 0;
+    }
+
+    /** Moves bytes into the head until its end is there. @return bytes used. */
+    size_t collectHead(std::string_view bytes)
+    {
+        const size_t before = head.size();
+        size_t used = 0;
+        if (before == 0) {
+            while (bytes.substr(used).starts_with(LineEnd))
+                used += LineEnd.size();
+        }
+        const size_t room = limits.headBytes + HeadEnd.size() - std::min(before, limits.headBytes);
+        head.append(bytes.substr(used, room));
+        const size_t searchFrom = before < HeadEnd.size() ? 0 : before - HeadEnd.size();
+        const size_t end = head.find(HeadEnd, searchFrom);
+        if (end == std::string::npos) {
+            if (head.size() > limits.headBytes)
+                throw MessageRejected(ParseFault::HeadTooLarge);
+            return bytes.size();
+        }
+        head.resize(end + HeadEnd.size());
+        return used + head.size() - before;
+    }
+
+    size_t execute(std::string_view bytes)
+    {
+        const size_t used
+            = http_parser_execute(&message.parser, &settings, bytes.data(), bytes.size());
+        const http_errno fault = HTTP_PARSER_ERRNO(&message.parser);
+        if (isBodyTooLarge)
+            throw MessageRejected(ParseFault::BodyTooLarge);
+        if (fault != HPE_OK && fault != HPE_PAUSED)
+            throw MessageRejected(ParseFault::Malformed);
+        return used;
+    }
+
+    MessageState message;
+    MessageLimits limits;
+    http_parser_settings settings {};
+    std::string head;
+    size_t bodyBytes = 0;
+    bool isBodyTooLarge = false;
+    std::vector<RequestEvent>* events = nullptr;
+};
+
+RequestParser::RequestParser(const MessageLimits& limits)
+    : m_state(std::make_unique<State>(limits))
+{
+}
+
+RequestParser::~RequestParser() = default;
+
+size_t RequestParser::feed(std::string_view bytes, std::vector<RequestEvent>& events)
+{
+    State& state = *m_state;
+    state.events = &events;
+    size_t used = 0;
+    if (!state.message.isHeadDone) {
+        used = state.collectHead(bytes);
+        if (!state.head.ends_with(HeadEnd))
+            return used;
+        checkHead(state.head);
+        state.execute(state.head);
+    }
+    if (!state.message.isDone && used < bytes.size())
+        used += state.execute(bytes.substr(used));
+    if (state.message.isDone) {
+        state.message.resetFor(HTTP_REQUEST);
+        state.head.clear();
+        state.bodyBytes = 0;
+    }
+    return used;
+}
+
+bool RequestParser::isBetweenMessages() const noexcept
+{
+    return m_state->head.empty() && !m_state->message.isHeadDone;
+}
+
+} // namespace citronspoke::http1
--- /dev/null
+++ b/libs/http1/tests/Http1Tests.cpp
@@ -0,0 +1,158 @@
+#include "http1/Http1.h"
+
+#include <criterion/criterion.h>
+
+using namespace citronspoke::http1;
+
+namespace {
+
+std::vector<RequestEvent> parseRequest(std::string_view bytes)
+{
+    RequestParser parser(MessageLimits { 256, 64 });
+    std::vector<RequestEvent> events;
+    cr_assert_eq(parser.feed(bytes, events), bytes.size());
+    return events;
+}
+
+bool isRejected(std::string_view bytes, ParseFault fault)
+{
+    RequestParser parser(MessageLimits { 256, 64 });
+    std::vector<RequestEvent> events;
+    try {
+        parser.feed(bytes, events);
+    } catch (const MessageRejected& rejected) {
+        return rejected.fault() == fault;
+    }
+    return false;
+}
+
+std::string bodyOf(const std::vector<RequestEvent>& events)
+{
+    std::string body;
+    for (const RequestEvent& event : events) {
+        if (const BodyPart* part = std::get_if<BodyPart>(&event))
+            body += part->bytes;
+    }
+    return body;
+}
+
+} // namespace
+
+Test(requests, body_by_length_and_by_chunks)
+{
+    cr_assert(bodyOf(parseRequest("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"))
+        == "abc");
+    cr_assert(bodyOf(parseRequest("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                  "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"))
+        == "abc");
+}
+
+Test(requests, come_byte_by_byte)
+{
+    RequestParser parser(MessageLimits {});
+    std::vector<RequestEvent> events;
+    const std::string text = "POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxy";
+    for (const char letter : text)
+        cr_assert_eq(parser.feed(std::string_view(&letter, 1), events), 1U);
+    cr_assert(std::get<RequestHead>(events.front()).target == "/a?b");
+    cr_assert(std::holds_alternative<MessageEnd>(events.back()));
+    cr_assert(parser.isBetweenMessages());
+}
+
+Test(requests, pipelined_ones_are_cut_apart)
+{
+    RequestParser parser(MessageLimits {});
+    std::vector<RequestEvent> events;
+    const std::string first = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string both = first + "GET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+    cr_assert_eq(parser.feed(both, events), first.size());
+    cr_assert_eq(events.size(), 2U);
+    cr_assert_eq(parser.feed(std::string_view(both).substr(first.size()), events), first.size());
+    cr_assert(std::get<RequestHead>(events[2]).target == "/b");
+}
+
+Test(requests, that_could_smuggle_another_are_rejected)
+{
+    const std::string_view head = "POST /a HTTP/1.1\r\nHost: h\r\n";
+    for (const std::string_view rest : {
+             "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+             "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+             "Transfer-Encoding: xchunked\r\n\r\nabc",
+             "Content-Length : 3\r\n\r\nabc",
+             "X: a\n b\r\n\r\n",
+             "X: a\r\n b\r\n\r\n",
+             "X: a\nContent-Length: 3\r\n\r\nabc",
+             "Host: other\r\n\r\n",
+             "Content-Length: +3\r\n\r\nabc",
+         }) {
+        cr_expect(isRejected(std::string(head).append(rest), ParseFault::Malformed), "%.*s",
+            static_cast<int>(rest.size()), rest.data());
+    }
+    cr_expect(isRejected("GET /a HTTP/1.1\r\n\r\n", ParseFault::Malformed));
+}
+
+Test(requests, larger_than_the_limits_are_rejected)
+{
+    const std::string filler(300, 'x');
+    cr_expect(isRejected("GET /a HTTP/1.1\r\nHost: h\r\nX: " + filler + "\r\n\r\n",
+        ParseFault::HeadTooLarge));
+    cr_expect(isRejected("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n",
+        ParseFault::BodyTooLarge));
+    cr_expect(isRejected("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n"
+            + std::string(65, 'x') + "\r\n",
+        ParseFault::BodyTooLarge));
+}
+
+Test(responses, end_by_length_chunks_or_connection)
+{
+    ResponseParser parser;
+    std::vector<ResponseEvent> events;
+    const std::string_view byLength = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    cr_assert_eq(parser.feed(std::string(byLength) + "extra", events), byLength.size());
+    cr_assert(std::holds_alternative<MessageEnd>(events.back()));
+    events.clear();
+    parser.feed("HTTP/1.1 200 OK\r\n\r\npart", events);
+    cr_assert(std::get<ResponseHead>(events.front()).framing == BodyFraming::UntilClose);
+    cr_assert(parser.finish(events));
+    cr_assert(std::holds_alternative<MessageEnd>(events.back()));
+    events.clear();
+    parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", events);
+    cr_assert_not(parser.finish(events), "A short body must not look complete.");
+}
+
+Test(responses, skip_interim_ones_and_reject_garbage)
+{
+    ResponseParser parser;
+    std::vector<ResponseEvent> events;
+    parser.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", events);
+    cr_assert_eq(events.size(), 2U);
+    cr_assert_eq(std::get<ResponseHead>(events.front()).status, 204U);
+    bool isRejectedBytes = false;
+    try {
+        parser.feed("\x01\x02 not an answer", events);
+    } catch (const MessageRejected&) {
+        isRejectedBytes = true;
+    }
+    cr_assert(isRejectedBytes);
+}
+
+Test(fields, of_one_connection_are_removed)
+{
+    Headers headers;
+    for (const std::string_view name : { "Connection", "X-Private", "Keep-Alive", "X-Kept" })
+        headers.add(name, "x-private, close");
+    removeConnectionFields(headers);
+    cr_assert_eq(headers.entries().size(), 1U);
+    cr_assert(headers.find("x-kept").has_value());
+}
+
+Test(events, are_cut_whole_with_their_ids)
+{
+    EventSplitter splitter;
+    cr_assert(splitter.feed("id: 1\ndata: a\n").empty());
+    cr_assert(splitter.hasPartialEvent());
+    const std::vector<StreamEvent> events = splitter.feed("\nid: 2\ndata: b\n\nid: 3");
+    cr_assert_eq(events.size(), 2U);
+    cr_assert_eq(events[1].id.value_or(0), 2U);
+    cr_assert(splitter.hasPartialEvent());
+}
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -228,6 +228,48 @@
     bool engineChecksFencing = true;
 };
 
+/** What the retries of all entries together may add to a pool's requests. */
+struct RetryLimits {
+    /** For each request of callers. */
+    double share = 0.1;
+    /** In each window, whatever the requests. */
+    double fixedPart = 0;
+    Milliseconds window { 10000 };
+};
+
+/** Settings of the gateway on an entry VM. */
+struct GatewaySettings {
+    std::string id;
+    ZoneId zone;
+    /** Where callers connect, "IP:PORT". */
+    std::string callers;
+    /** Where the balancer asks whether new connections may come, "IP:PORT". */
+    std::string readiness;
+    /** Where operators are answered and, over UDP, the other gateways; "IP:PORT". */
+    std::string operatorAddress;
+    /** The platform's store, "IP:PORT". */
+    std::string store;
+    /** From the signal to stop until the process is killed. */
+    Milliseconds stopGrace { 8000 };
+    RetryLimits retries;
+};
+
+/** Settings of the sidecar beside a model engine. */
+struct SidecarSettings {
+    std::string id;
+    ZoneId zone;
+    /** The engine on this VM, "IP:PORT". */
+    std::string engine;
+    std::string operatorAddress;
+    std::string store;
+};
+
+/** @return @p flag or, when it is empty, what CITRONSPOKE_SETTINGS names. */
+std::string settingsPath(std::string_view flag);
+/** @throws SettingsInvalid */
+GatewaySettings parseGatewaySettings(const SourceFile& file);
+/** @throws SettingsInvalid */
+SidecarSettings parseSidecarSettings(const SourceFile& file);
 /** @throws SettingsInvalid */
 EntrySettings parseEntrySettings(const SourceFile& file);
 /** @throws SettingsInvalid */
--- /dev/null
+++ b/libs/storefeed/include/storefeed/StoreFeed.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "adapter/Adapter.h"
+#include "channels/Channels.h"
+
+/** Follows keys of the platform's store. */
+namespace citronspoke::storefeed {
+
+/**
+ * Follows all keys below a prefix: reads the range once, then watches. While the store cannot be
+ * reached, what was read last stays valid and grows old.
+ */
+class StoreFeed {
+public:
+    struct Handlers {
+        /** The whole range. @param mayHaveLapsed keys may be missing only since the store was away. */
+        std::function<void(std::span<const adapter::StoreItem>, bool mayHaveLapsed)> onRange;
+        std::function<void(const adapter::KeyChange&, bool mayHaveLapsed)> onChange;
+    };
+    struct Options {
+        std::string prefix;
+        /** How long the store holds back a watch that has nothing to say. */
+        Milliseconds watchWait { 2000 };
+    };
+
+    StoreFeed(channels::EventLoop& loop, channels::ConnectionPool& pool,
+        const fleet::Address& store, const Options& options, Handlers handlers);
+
+    void start();
+    /** @return the time of the last answer; none before the first. */
+    std::optional<SteadyTime> lastAnswer() const noexcept { return m_lastAnswer; }
+    /** @return whether the last call was answered. */
+    bool isConnected() const noexcept { return m_failures == 0 && m_lastAnswer.has_value(); }
+
+private:
+    void readPage(std::string after);
+    void onPage(const std::optional<channels::CallAnswer>& answer);
+    void watch();
+    void onWatch(const std::optional<channels::CallAnswer>& answer);
+    void noteAnswer();
+    void retryLater(std::string_view cause);
+    bool mayHaveLapsed() const;
+    void send(const adapter::Call& call, Milliseconds limit,
+        void (StoreFeed::*handler)(const std::optional<channels::CallAnswer>&));
+
+    channels::EventLoop& m_loop;
+    channels::ConnectionPool& m_pool;
+    fleet::Address m_store;
+    Options m_options;
+    Handlers m_handlers;
+    channels::Timer m_timer;
+    std::shared_ptr<void> m_call;
+    std::vector<adapter::StoreItem> m_items;
+    adapter::StoreRevision m_rangeRevision;
+    adapter::StoreRevision m_revision;
+    bool m_hasRange = false;
+    uint32_t m_failures = 0;
+    std::optional<SteadyTime> m_lastAnswer;
+    /** When the store answered again after it had been away. */
+    std::optional<SteadyTime> m_returnedAt;
+};
+
+} // namespace citronspoke::storefeed
--- a/libs/telemetry/include/telemetry/Telemetry.h
+++ b/libs/telemetry/include/telemetry/Telemetry.h
@@ -15,8 +15,14 @@
 };
 using Fields = std::initializer_list<Field>;
 
-/** Sends the log to standard error, each line "TIME LEVEL [part] Sentence. key=value". */
+/**
+ * Sends the log to standard output, each line "TIME LEVEL [part] Sentence. key=value". A thread of
+ * its own writes the lines; when it falls behind, lines are dropped and counted, and no caller
+ * waits.
+ */
 void configureLogging(bool verbose);
+/** Writes what is queued and ends the writer; call it last in main. */
+void finishLogging();
 void logDebug(std::string_view part, std::string_view sentence, Fields fields = {});
 void logInfo(std::string_view part, std::string_view sentence, Fields fields = {});
 void logWarning(std::string_view part, std::string_view sentence, Fields fields = {});
--- a/libs/telemetry/src/Logging.cpp
+++ b/libs/telemetry/src/Logging.cpp
@@ -1,5 +1,7 @@
 #include "telemetry/Telemetry.h"
 
+#include "LogWriter.h"
+
 #include <easylogging++.h>
 
 INITIALIZE_EASYLOGGINGPP
@@ -17,10 +19,34 @@
         return text;
     }
 
+    std::unique_ptr<LogWriter>& writer()
+    {
+        static std::unique_ptr<LogWriter> instance;
+        return instance;
+    }
+
+    /** Hands each finished line to the writer. */
+    class QueueLine final : public el::LogDispatchCallback {
+    protected:
+        void handle(const el::LogDispatchData* data) override
+        {
+            if (!writer())
+                return;
+            writer()->push(data->logMessage()->logger()->logBuilder()->build(
+                data->logMessage(), data->dispatchAction() == el::base::DispatchAction::NormalLog));
+        }
+    };
+
 } // namespace
 
+void finishLogging() { writer().reset(); }
+
 void configureLogging(bool verbose)
 {
+    writer() = std::make_unique<LogWriter>();
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+        "DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<QueueLine>("QueueLine");
     el::Configurations configuration;
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::Format, "%datetime{%H:%m:%s.%g} %level %msg");
