Reset connections that are closed with unsent bytes

The engine had been cut off; a plain close lets the kernel deliver what was queued once the cut heals. Change: close sets a linger time of zero; only an orderly end of writing does not. Also: a request without Host was taken; the callback's return value let it pass. Ruled out: a late send by the gateway; its log shows the caller leaving at once.

--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -40,6 +40,8 @@
     /** Returns after stop. */
     void run();
     void stop();
+    /** Lets run be called again after stop. */
+    void restart();
     /** Runs the task after the current callback; any thread may call. */
     void post(std::function<void()> task);
     /** Calls the handler on each of these signals instead of their default action. */
@@ -92,7 +94,7 @@
     virtual size_t unsentBytes() const = 0;
     /** Sends what is left, then closes. */
     virtual void closeAfterWrites() = 0;
-    /** Closes at once; unsent bytes are lost. */
+    /** Resets the connection at once; unsent bytes are lost and never arrive later. */
     virtual void close() = 0;
 };
 using ConnectionPointer = std::shared_ptr<Connection>;
--- a/libs/channels/src/Connection.cpp
+++ b/libs/channels/src/Connection.cpp
@@ -86,6 +86,10 @@
             m_isClosed = true;
             asio::error_code ignored;
             m_connectTimer.cancel();
+            // A plain close would let the network deliver unsent bytes later, perhaps after a
+            // partition, when nobody wants them any more.
+            if (m_unsent > 0 || !m_isOrderly)
+                m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
             m_socket.close(ignored);
             m_handlers = std::make_shared<Handlers>();
         }
@@ -185,6 +189,7 @@
             m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
             constexpr std::chrono::seconds LingerLimit { 1 };
             m_connectTimer.expires_after(LingerLimit);
+            m_isOrderly = true;
             m_connectTimer.async_wait([self = shared()](const asio::error_code& error) {
                 if (!error)
                     self->close();
@@ -212,6 +217,8 @@
         bool m_isReading = false;
         bool m_isClosed = false;
         bool m_closesAfterWrites = false;
+        /** Writing has ended in order; the close must not reset the connection. */
+        bool m_isOrderly = false;
     };
 
 } // namespace
--- a/libs/channels/src/EventLoop.cpp
+++ b/libs/channels/src/EventLoop.cpp
@@ -21,6 +21,8 @@
 
 void EventLoop::run() { m_implementation->context.run(); }
 
+void EventLoop::restart() { m_implementation->context.restart(); }
+
 void EventLoop::stop() { m_implementation->context.stop(); }
 
 void EventLoop::post(std::function<void()> task)
--- /dev/null
+++ b/libs/channels/tests/ChannelTests.cpp
@@ -0,0 +1,218 @@
+#include "channels/Channels.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace citronspoke;
+using namespace citronspoke::channels;
+
+namespace {
+
+constexpr Milliseconds Limit { 5000 };
+
+/** A plain blocking server on a free port of this machine, so that tests see exact bytes. */
+class RawServer {
+public:
+    RawServer()
+        : m_listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        cr_assert_eq(bind(m_listener, reinterpret_cast<sockaddr*>(&address), size), 0);
+        cr_assert_eq(listen(m_listener, 8), 0);
+        getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
+        m_port = ntohs(address.sin_port);
+    }
+    ~RawServer() { close(m_listener); }
+    RawServer(const RawServer&) = delete;
+    RawServer& operator=(const RawServer&) = delete;
+
+    fleet::Address address() const { return { "127.0.0.1", m_port }; }
+    int acceptOne() const { return accept(m_listener, nullptr, nullptr); }
+
+    /** Reads up to the end of a request's head. */
+    static std::string readHead(int connection)
+    {
+        std::string text;
+        char letter = 0;
+        while (text.find("\r\n\r\n") == std::string::npos && read(connection, &letter, 1) == 1)
+            text.push_back(letter);
+        return text;
+    }
+
+    static void send(int connection, std::string_view text)
+    {
+        cr_assert_eq(::send(connection, text.data(), text.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(text.size()));
+    }
+
+private:
+    int m_listener;
+    uint16_t m_port = 0;
+};
+
+const std::string Request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/** What one exchange brought. */
+struct Result {
+    uint32_t status = 0;
+    std::string body;
+    std::optional<ExchangeEnd> end;
+};
+
+Exchange::Handlers collect(EventLoop& loop, Result& result)
+{
+    Exchange::Handlers handlers;
+    handlers.onHead = [&result](const http1::ResponseHead& head) { result.status = head.status; };
+    handlers.onBody = [&result](std::string_view bytes) { result.body.append(bytes); };
+    handlers.onEnd = [&loop, &result](ExchangeEnd end) {
+        result.end = end;
+        loop.stop();
+    };
+    return handlers;
+}
+
+Result runExchange(EventLoop& loop, ConnectionPool& pool, const fleet::Address& address)
+{
+    Result result;
+    const ExchangePointer exchange
+        = pool.start({ address, "life" }, Request, Limit, collect(loop, result));
+    Timer timer(loop);
+    timer.arm(Limit, [&loop] { loop.stop(); });
+    loop.run();
+    loop.restart();
+    return result;
+}
+
+} // namespace
+
+Test(connections, closed_with_unsent_bytes_are_reset)
+{
+    RawServer server;
+    ssize_t last = 1;
+    int error = 0;
+    std::jthread peer([&] {
+        const int connection = server.acceptOne();
+        std::this_thread::sleep_for(Milliseconds(300));
+        std::array<char, 65536> buffer {};
+        while ((last = read(connection, buffer.data(), buffer.size())) > 0) { }
+        error = errno;
+        close(connection);
+    });
+    EventLoop loop;
+    const ConnectionPointer connection = connect(loop, server.address(), Limit);
+    connection->start({});
+    connection->write(std::string(32 << 20, 'x'));
+    Timer timer(loop);
+    timer.arm(Milliseconds(100), [&] {
+        connection->close();
+        loop.stop();
+    });
+    loop.run();
+    peer.join();
+    cr_assert_eq(last, -1, "What was not sent when the caller left must not arrive later.");
+    cr_assert_eq(error, ECONNRESET);
+}
+
+Test(exchanges, use_a_kept_connection_again)
+{
+    RawServer server;
+    std::jthread peer([&] {
+        const int connection = server.acceptOne();
+        for (int request = 0; request < 2; ++request) {
+            RawServer::readHead(connection);
+            RawServer::send(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        }
+        close(connection);
+    });
+    EventLoop loop;
+    ConnectionPool pool(loop, {});
+    for (int request = 0; request < 2; ++request)
+        cr_assert(runExchange(loop, pool, server.address()).end == ExchangeEnd::Complete);
+    cr_assert_eq(pool.connectionsMade(), 1U);
+}
+
+Test(exchanges, never_use_a_connection_with_extra_bytes_again)
+{
+    RawServer server;
+    std::jthread peer([&] {
+        for (int request = 0; request < 2; ++request) {
+            const int connection = server.acceptOne();
+            RawServer::readHead(connection);
+            RawServer::send(connection,
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n");
+            close(connection);
+        }
+    });
+    EventLoop loop;
+    ConnectionPool pool(loop, {});
+    for (int request = 0; request < 2; ++request) {
+        const Result result = runExchange(loop, pool, server.address());
+        cr_assert(result.end == ExchangeEnd::Complete);
+        cr_assert(result.body == "ok");
+    }
+    cr_assert_eq(pool.connectionsMade(), 2U);
+}
+
+Test(exchanges, skip_the_late_answer_of_an_earlier_request)
+{
+    RawServer server;
+    std::jthread peer([&] {
+        const int connection = server.acceptOne();
+        RawServer::readHead(connection);
+        RawServer::send(connection,
+            "HTTP/1.1 200 OK\r\nX-Of: other\r\nContent-Length: 3\r\n\r\nold"
+            "HTTP/1.1 200 OK\r\nX-Of: this\r\nContent-Length: 3\r\n\r\nnew");
+        close(connection);
+    });
+    EventLoop loop;
+    ConnectionPool pool(loop, {});
+    Result result;
+    Exchange::Handlers handlers = collect(loop, result);
+    handlers.isOurs = [](const http1::ResponseHead& head) {
+        return head.headers.find("X-Of").value_or("") == "this";
+    };
+    const ExchangePointer exchange
+        = pool.start({ server.address(), "life" }, Request, Limit, std::move(handlers));
+    loop.run();
+    cr_assert(result.end == ExchangeEnd::Complete);
+    cr_assert(result.body == "new");
+}
+
+Test(exchanges, cut_short_are_not_complete)
+{
+    for (const std::string_view answer : { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", "garbage\r\n\r\n",
+             "" }) {
+        RawServer server;
+        std::jthread peer([&] {
+            const int connection = server.acceptOne();
+            RawServer::readHead(connection);
+            RawServer::send(connection, answer);
+            close(connection);
+        });
+        EventLoop loop;
+        ConnectionPool pool(loop, {});
+        cr_expect(runExchange(loop, pool, server.address()).end == ExchangeEnd::Broken, "%.*s",
+            static_cast<int>(answer.size()), answer.data());
+    }
+}
+
+Test(exchanges, to_a_closed_port_were_not_sent)
+{
+    fleet::Address address;
+    {
+        RawServer server;
+        address = server.address();
+    }
+    EventLoop loop;
+    ConnectionPool pool(loop, {});
+    cr_assert(runExchange(loop, pool, address).end == ExchangeEnd::NotSent);
+}
--- a/libs/http1/src/RequestParser.cpp
+++ b/libs/http1/src/RequestParser.cpp
@@ -42,7 +42,7 @@
         const std::optional<std::string_view> expected = head.headers.find("expect");
         head.expectsContinue = expected && equalsIgnoringCase(*expected, "100-continue");
         if (head.headers.count("host") != 1 || head.headers.count("content-length") > 1)
-            return 1;
+            return -1;
         const bool hasLength = parser->content_length != std::numeric_limits<uint64_t>::max();
         if (hasLength && parser->content_length > state.limits.bodyBytes)
             state.isBodyTooLarge = true;
