Give no work to engines that are about to change role; end the grace for lapsed entries

Change: sidecars and gateways share one plan; engines that it moves get no work. Older makers stay, so that a replacement (its id may sort first) moves none of them. Change: a missing entry may return until two seconds after the store did. Ruled out: a late watch; the removal was seen 2 ms after the others saw it.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -34,22 +34,22 @@
     , m_storePool(loop, storeOptions())
     , m_declarations(loop, m_storePool, addressIn(settings.store),
           { std::string(adapter::DeclarationPrefix), Milliseconds(2000) },
-          { [this](std::span<const adapter::StoreItem> items, bool) {
+          { [this](std::span<const adapter::StoreItem> items, SteadyTime) {
                for (const adapter::StoreItem& item : items)
                    onDeclaration(item);
            },
-              [this](const adapter::KeyChange& change, bool) {
+              [this](const adapter::KeyChange& change, SteadyTime) {
                   if (const adapter::KeyWritten* written
                       = std::get_if<adapter::KeyWritten>(&change))
                       onDeclaration(written->item);
               } })
     , m_targets(loop, m_storePool, addressIn(settings.store),
           { std::string(adapter::TargetPrefix), Milliseconds(2000) },
-          { [this](std::span<const adapter::StoreItem> items, bool mayHaveLapsed) {
-               onTargets(items, mayHaveLapsed);
+          { [this](std::span<const adapter::StoreItem> items, SteadyTime mayReturnUntil) {
+               onTargets(items, mayReturnUntil);
            },
-              [this](const adapter::KeyChange& change, bool mayHaveLapsed) {
-                  onTargetChange(change, mayHaveLapsed);
+              [this](const adapter::KeyChange& change, SteadyTime mayReturnUntil) {
+                  onTargetChange(change, mayReturnUntil);
               } })
     , m_peers(m_context, m_storePool, addressIn(settings.store),
           addressIn(settings.operatorAddress))
@@ -112,35 +112,36 @@
     }
 }
 
-void Gateway::onTargets(std::span<const adapter::StoreItem> items, bool mayHaveLapsed)
+void Gateway::onTargets(std::span<const adapter::StoreItem> items, SteadyTime mayReturnUntil)
 {
     std::vector<fleet::TargetEntry> entries;
     for (const adapter::StoreItem& item : items) {
         if (const std::optional<fleet::TargetEntry> entry = decodeTarget(item))
             entries.push_back(*entry);
     }
-    m_context.directory.replaceAll(entries, mayHaveLapsed, steadyNow());
+    m_context.directory.replaceAll(entries, mayReturnUntil, steadyNow());
     telemetry::logInfo("targets", "Read the list of targets.",
         { { "targets", std::to_string(entries.size()) },
-            { "may_have_lapsed", mayHaveLapsed ? "yes" : "no" } });
+            { "may_return", mayReturnUntil > steadyNow() ? "yes" : "no" } });
 }
 
-void Gateway::onTargetChange(const adapter::KeyChange& change, bool mayHaveLapsed)
+void Gateway::onTargetChange(const adapter::KeyChange& change, SteadyTime mayReturnUntil)
 {
     if (const adapter::KeyRemoved* removed = std::get_if<adapter::KeyRemoved>(&change)) {
         const TargetId id(removed->key.substr(adapter::TargetPrefix.size()));
-        m_context.directory.remove(id, mayHaveLapsed, steadyNow());
-        if (!mayHaveLapsed)
+        const SteadyTime now = steadyNow();
+        m_context.directory.remove(id, mayReturnUntil, now);
+        if (mayReturnUntil <= now)
             m_context.ledger.forget(id);
         telemetry::logInfo("targets", "An entry is gone.",
-            { { "target", id.text() }, { "may_have_lapsed", mayHaveLapsed ? "yes" : "no" } });
+            { { "target", id.text() }, { "may_return", mayReturnUntil > now ? "yes" : "no" } });
         return;
     }
     const adapter::StoreItem& item = std::get<adapter::KeyWritten>(change).item;
     const std::optional<fleet::TargetEntry> entry = decodeTarget(item);
     if (!entry) {
         const TargetId id(item.key.substr(adapter::TargetPrefix.size()));
-        m_context.directory.remove(id, false, steadyNow());
+        m_context.directory.remove(id, SteadyTime {}, steadyNow());
         return;
     }
     if (m_context.directory.put(*entry))
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -17,8 +17,8 @@
 
 private:
     void onDeclaration(const adapter::StoreItem& item);
-    void onTargets(std::span<const adapter::StoreItem> items, bool mayHaveLapsed);
-    void onTargetChange(const adapter::KeyChange& change, bool mayHaveLapsed);
+    void onTargets(std::span<const adapter::StoreItem> items, SteadyTime mayReturnUntil);
+    void onTargetChange(const adapter::KeyChange& change, SteadyTime mayReturnUntil);
     std::optional<fleet::TargetEntry> decodeTarget(const adapter::StoreItem& item) const;
     void accept(channels::ConnectionPointer connection);
     channels::PageServer::Page answerReadiness() const;
--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -45,6 +45,35 @@
         ledger.noteRead(engine, pool->engine->cacheTokens, parts);
 }
 
+const std::set<TargetId>& GatewayContext::plannedMakers(const PoolId& pool)
+{
+    PlannedMakers& planned = m_plannedMakers[pool];
+    if (planned.directoryVersion == directory.version())
+        return planned.makers;
+    std::vector<fleet::TargetEntry> engines;
+    for (const auto& [id, state] : directory.targets()) {
+        if (state.entry.pool == pool)
+            engines.push_back(state.entry);
+    }
+    planned.makers = dispatch::planMakers({}, engines);
+    planned.directoryVersion = directory.version();
+    return planned.makers;
+}
+
+std::vector<dispatch::TargetState*> GatewayContext::enginesInRole(
+    const PoolId& pool, EngineRole role)
+{
+    std::vector<dispatch::TargetState*> inRole = directory.usable(pool, steadyNow());
+    std::erase_if(inRole,
+        [role](const dispatch::TargetState* state) { return state->entry.role != role; });
+    const std::set<TargetId>& makers = plannedMakers(pool);
+    std::vector<dispatch::TargetState*> staying = inRole;
+    std::erase_if(staying, [&makers](const dispatch::TargetState* state) {
+        return dispatch::plannedChange(makers, state->entry).has_value();
+    });
+    return staying.empty() ? inRole : staying;
+}
+
 double GatewayContext::draw()
 {
     return std::uniform_real_distribution<double>(0, 1)(m_random);
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -35,12 +35,25 @@
     /** An engine has read the parts of a prompt. */
     void noteParts(const TargetId& engine, std::span<const fleet::PromptPart> parts);
 
+    /**
+     * @return the engines of a pool that are in a role and should stay in it; engines that are
+     *         about to change refuse work for seconds.
+     */
+    std::vector<dispatch::TargetState*> enginesInRole(const PoolId& pool, EngineRole role);
+
     /** @return uniform in [0, 1). */
     double draw();
 
 private:
     void tellLoad(const TargetId& target);
 
+    struct PlannedMakers {
+        uint64_t directoryVersion = 0;
+        std::set<TargetId> makers;
+    };
+    const std::set<TargetId>& plannedMakers(const PoolId& pool);
+
+    std::map<PoolId, PlannedMakers> m_plannedMakers;
     std::mt19937_64 m_random;
 };
 
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -31,8 +31,8 @@
     , m_id(context.settings.id)
     , m_startedAt(unixNow())
     , m_feed(context.loop, storePool, store, { std::string(PeerPrefix), WatchWait },
-          { [this](std::span<const adapter::StoreItem> items, bool) { onPeers(items); },
-              [this](const adapter::KeyChange& change, bool) { onPeerChange(change); } })
+          { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onPeers(items); },
+              [this](const adapter::KeyChange& change, SteadyTime) { onPeerChange(change); } })
     , m_port(context.loop, ownAddress,
           [this](std::string_view datagram) { onDatagram(datagram); })
     , m_renewTimer(context.loop)
--- a/apps/gateway/RequestRun.cpp
+++ b/apps/gateway/RequestRun.cpp
@@ -167,16 +167,10 @@
 
 bool RequestRun::sendPrompt()
 {
-    std::vector<dispatch::TargetState*> states
-        = m_context.directory.usable(m_pool->id, steadyNow());
-    const auto isMaker = [](const dispatch::TargetState* state) {
-        return state->entry.role == EngineRole::Decode;
-    };
-    if (std::none_of(states.begin(), states.end(), isMaker))
+    if (m_context.enginesInRole(m_pool->id, EngineRole::Decode).empty())
         return false;
-    std::erase_if(states, [](const dispatch::TargetState* state) {
-        return state->entry.role != EngineRole::Prefill;
-    });
+    const std::vector<dispatch::TargetState*> states
+        = m_context.enginesInRole(m_pool->id, EngineRole::Prefill);
     const std::vector<dispatch::TargetState*> holders
         = m_context.directory.present(m_pool->id, steadyNow());
     const dispatch::PromptPlacement placement = dispatch::placePrompt(
@@ -196,11 +190,8 @@
 
 bool RequestRun::sendTokens()
 {
-    std::vector<dispatch::TargetState*> states
-        = m_context.directory.usable(m_pool->id, steadyNow());
-    std::erase_if(states, [](const dispatch::TargetState* state) {
-        return state->entry.role != EngineRole::Decode;
-    });
+    const std::vector<dispatch::TargetState*> states
+        = m_context.enginesInRole(m_pool->id, EngineRole::Decode);
     dispatch::TargetState* state
         = dispatch::chooseTokenMaker(states, m_avoided, m_prompt->reader.zone, steadyNow());
     if (!state)
--- a/apps/sidecar/RoleKeeper.cpp
+++ b/apps/sidecar/RoleKeeper.cpp
@@ -35,8 +35,8 @@
     , m_store(addressIn(settings.store))
     , m_pool(loop, {})
     , m_feed(loop, m_pool, m_store, { std::string(adapter::TargetPrefix), WatchWait },
-          { [this](std::span<const adapter::StoreItem> items, bool) { onTargets(items); },
-              [this](const adapter::KeyChange& change, bool) { onTargetChange(change); } })
+          { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onTargets(items); },
+              [this](const adapter::KeyChange& change, SteadyTime) { onTargetChange(change); } })
     , m_timer(loop)
     , m_startedAt(steadyNow())
 {
@@ -97,7 +97,7 @@
         if (entry.pool == own->pool)
             engines.push_back(entry);
     }
-    return dispatch::planRole(m_plan, engines, own->id);
+    return dispatch::plannedChange(dispatch::planMakers(m_plan, engines), *own);
 }
 
 void RoleKeeper::check()
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -65,8 +65,8 @@
     uint32_t failuresInRow = 0;
     /** No work before this time, unless there is no other target. */
     SteadyTime avoidUntil {};
-    /** Set when the entry is missing from the store and may only have lapsed. */
-    std::optional<SteadyTime> missingSince;
+    /** Set when the entry is missing from the store but may return until then. */
+    std::optional<SteadyTime> mayReturnUntil;
 
     /** @return the work of all entries, as far as it is known. */
     Load load() const;
@@ -75,8 +75,6 @@
 /** What is known of the targets, by their entries in the store and by own attempts. */
 class TargetDirectory {
 public:
-    /** How long a missing entry may be back after the store was away; from the users' pages. */
-    static constexpr Milliseconds ReturnGrace { 2000 };
     /** Peers repeat what they have in flight four times in this time. */
     static constexpr Milliseconds PeerSilence { 2000 };
 
@@ -84,11 +82,13 @@
     bool put(const fleet::TargetEntry& entry);
     /**
      * An entry is gone.
-     * @param mayHaveLapsed the store was away a moment ago, so the target may still be there.
+     * @param mayReturnUntil until then the entry may only have lapsed while the store was away, and
+     *        the target is still used.
      */
-    void remove(const TargetId& id, bool mayHaveLapsed, SteadyTime now);
+    void remove(const TargetId& id, SteadyTime mayReturnUntil, SteadyTime now);
     /** Takes over the whole list; entries that are missing from it are removed. */
-    void replaceAll(std::span<const fleet::TargetEntry> entries, bool mayHaveLapsed, SteadyTime now);
+    void replaceAll(
+        std::span<const fleet::TargetEntry> entries, SteadyTime mayReturnUntil, SteadyTime now);
     /** Forgets entries that did not return in time, and what silent peers said. */
     void expire(SteadyTime now);
     /** Takes over what a peer says of its own work at a target. */
@@ -101,6 +101,8 @@
     /** @return null when no such target is known. */
     TargetState* find(const TargetId& id);
     size_t size() const noexcept { return m_targets.size(); }
+    /** @return a number that grows whenever an entry comes, changes or goes. */
+    uint64_t version() const noexcept { return m_version; }
     const std::map<TargetId, TargetState>& targets() const noexcept { return m_targets; }
 
     void noteStarted(const TargetId& id, const Load& load);
@@ -109,6 +111,7 @@
 
 private:
     std::map<TargetId, TargetState> m_targets;
+    uint64_t m_version = 0;
 };
 
 /**
@@ -229,10 +232,14 @@
 };
 
 /**
- * @param engines of one pool, in any order; engines without a role take no part.
- * @return the role that the engine should have; none when its role should stay as it is.
+ * Chooses the engines that should make tokens; the others read prompts. All processes that know the
+ * same engines choose the same ones.
+ * @param engines of one pool, in any order; leaving ones and those without a role take no part.
  */
-std::optional<EngineRole> planRole(
-    const RolePlan& plan, std::span<const fleet::TargetEntry> engines, const TargetId& engine);
+std::set<TargetId> planMakers(const RolePlan& plan, std::span<const fleet::TargetEntry> engines);
+
+/** @return the role that an engine should change to; none when its role should stay as it is. */
+std::optional<EngineRole> plannedChange(
+    const std::set<TargetId>& makers, const fleet::TargetEntry& engine);
 
 } // namespace citronspoke::dispatch
--- a/libs/dispatch/src/RolePlan.cpp
+++ b/libs/dispatch/src/RolePlan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace citronspoke::dispatch {
 
@@ -14,40 +15,43 @@
         static_cast<uint32_t>(wanted), fewestMakers, static_cast<uint32_t>(engines - 1));
 }
 
-std::optional<EngineRole> planRole(
-    const RolePlan& plan, std::span<const fleet::TargetEntry> engines, const TargetId& engine)
+std::set<TargetId> planMakers(const RolePlan& plan, std::span<const fleet::TargetEntry> engines)
 {
     std::vector<const fleet::TargetEntry*> ranked;
     for (const fleet::TargetEntry& entry : engines) {
         if (entry.role && !entry.isLeaving)
             ranked.push_back(&entry);
     }
-    // Engines that make tokens already stay first, so that a plan moves as few as possible; zones
-    // take turns, so that the loss of one zone leaves makers in the others.
-    std::map<std::pair<bool, ZoneId>, uint32_t> seenInZone;
-    std::vector<std::tuple<bool, uint32_t, TargetId>> order;
+    // Engines that make tokens already stay, the oldest first, so that a newcomer moves none.
     std::sort(ranked.begin(), ranked.end(),
         [](const fleet::TargetEntry* left, const fleet::TargetEntry* right) {
-            return left->id < right->id;
+            return std::tie(left->startedAt, left->id) < std::tie(right->startedAt, right->id);
         });
-    for (const fleet::TargetEntry* entry : ranked) {
-        const bool isReader = *entry->role != EngineRole::Decode;
-        const uint32_t turn = seenInZone[{ isReader, entry->zone }]++;
-        order.emplace_back(isReader, turn, entry->id);
+    // Zones take turns, so that the loss of one leaves makers in the others.
+    std::map<std::pair<bool, ZoneId>, size_t> seenInZone;
+    std::vector<std::tuple<bool, size_t, size_t>> order;
+    for (size_t index = 0; index < ranked.size(); ++index) {
+        const bool isReader = *ranked[index]->role != EngineRole::Decode;
+        order.emplace_back(isReader, seenInZone[{ isReader, ranked[index]->zone }]++, index);
     }
     std::sort(order.begin(), order.end());
-    const uint32_t makers = plan.makers(order.size());
-    for (size_t position = 0; position < order.size(); ++position) {
-        const auto& [isReader, turn, id] = order[position];
-        if (id != engine)
-            continue;
-        const EngineRole wanted = position < makers ? EngineRole::Decode : EngineRole::Prefill;
-        const EngineRole present = isReader ? EngineRole::Prefill : EngineRole::Decode;
-        if (wanted == present)
-            return std::nullopt;
-        return wanted;
-    }
-    return std::nullopt;
+    order.resize(plan.makers(order.size()));
+    std::set<TargetId> makers;
+    for (const auto& [isReader, turn, index] : order)
+        makers.insert(ranked[index]->id);
+    return makers;
+}
+
+std::optional<EngineRole> plannedChange(
+    const std::set<TargetId>& makers, const fleet::TargetEntry& engine)
+{
+    if (!engine.role || engine.isLeaving)
+        return std::nullopt;
+    const EngineRole wanted
+        = makers.contains(engine.id) ? EngineRole::Decode : EngineRole::Prefill;
+    if (wanted == *engine.role)
+        return std::nullopt;
+    return wanted;
 }
 
 } // namespace citronspoke::dispatch
--- a/libs/dispatch/src/TargetDirectory.cpp
+++ b/libs/dispatch/src/TargetDirectory.cpp
@@ -50,24 +50,27 @@
         && state.entry.address == entry.address;
     if (!isSameLife)
         state = TargetState {};
+    if (state.entry != entry)
+        m_version += 1;
     state.entry = entry;
-    state.missingSince.reset();
+    state.mayReturnUntil.reset();
     return !isSameLife;
 }
 
-void TargetDirectory::remove(const TargetId& id, bool mayHaveLapsed, SteadyTime now)
+void TargetDirectory::remove(const TargetId& id, SteadyTime mayReturnUntil, SteadyTime now)
 {
     const auto found = m_targets.find(id);
     if (found == m_targets.end())
         return;
-    if (!mayHaveLapsed)
+    m_version += 1;
+    if (mayReturnUntil <= now)
         m_targets.erase(found);
-    else if (!found->second.missingSince)
-        found->second.missingSince = now;
+    else
+        found->second.mayReturnUntil = mayReturnUntil;
 }
 
 void TargetDirectory::replaceAll(
-    std::span<const fleet::TargetEntry> entries, bool mayHaveLapsed, SteadyTime now)
+    std::span<const fleet::TargetEntry> entries, SteadyTime mayReturnUntil, SteadyTime now)
 {
     std::set<TargetId> present;
     for (const fleet::TargetEntry& entry : entries) {
@@ -80,14 +83,14 @@
             missing.push_back(id);
     }
     for (const TargetId& id : missing)
-        remove(id, mayHaveLapsed, now);
+        remove(id, mayReturnUntil, now);
 }
 
 void TargetDirectory::expire(SteadyTime now)
 {
-    std::erase_if(m_targets, [now](const auto& item) {
+    m_version += std::erase_if(m_targets, [now](const auto& item) {
         const TargetState& state = item.second;
-        return state.missingSince && now - *state.missingSince >= ReturnGrace;
+        return state.mayReturnUntil && now >= *state.mayReturnUntil;
     });
     for (auto& [id, state] : m_targets) {
         std::erase_if(state.peers,
--- /dev/null
+++ b/libs/dispatch/tests/TargetDirectoryTests.cpp
@@ -0,0 +1,93 @@
+#include "dispatch/Dispatch.h"
+
+#include <criterion/criterion.h>
+
+using namespace citronspoke;
+using namespace citronspoke::dispatch;
+
+namespace {
+
+const PoolId Pool("pool");
+const SteadyTime Start { std::chrono::hours(1) };
+
+fleet::TargetEntry target(const std::string& id)
+{
+    fleet::TargetEntry entry;
+    entry.id = TargetId(id);
+    entry.pool = Pool;
+    entry.address = { "10.0.0.1", 80 };
+    entry.slots = 4;
+    entry.startedAt = UnixMillis(1);
+    return entry;
+}
+
+} // namespace
+
+Test(directory, a_missing_entry_is_used_only_until_lapsed_ones_are_back)
+{
+    TargetDirectory directory;
+    directory.put(target("a"));
+    // The store came back at the start; the entry is seen to be gone later.
+    const SteadyTime mayReturnUntil = Start + Milliseconds(2000);
+    directory.remove(TargetId("a"), mayReturnUntil, Start + Milliseconds(1200));
+    cr_assert_eq(directory.usable(Pool, Start + Milliseconds(1900)).size(), 1U);
+    cr_assert_eq(directory.usable(Pool, Start + Milliseconds(2000)).size(), 0U,
+        "The time counts from the return of the store, not from the removal.");
+}
+
+Test(directory, a_removed_entry_is_gone_at_once_when_the_store_was_there)
+{
+    TargetDirectory directory;
+    directory.put(target("a"));
+    directory.remove(TargetId("a"), SteadyTime {}, Start);
+    cr_assert_eq(directory.usable(Pool, Start).size(), 0U);
+}
+
+Test(directory, an_entry_that_returns_stays)
+{
+    TargetDirectory directory;
+    directory.put(target("a"));
+    directory.remove(TargetId("a"), Start + Milliseconds(2000), Start);
+    directory.put(target("a"));
+    cr_assert_eq(directory.usable(Pool, Start + Milliseconds(5000)).size(), 1U);
+}
+
+Test(directory, a_new_life_forgets_what_was_known_of_the_old_one)
+{
+    TargetDirectory directory;
+    directory.put(target("a"));
+    directory.noteStarted(TargetId("a"), { 3, 100, 200 });
+    directory.noteResult(TargetId("a"), AttemptResult::Unreachable, Start);
+    fleet::TargetEntry reborn = target("a");
+    reborn.startedAt = UnixMillis(2);
+    cr_assert(directory.put(reborn));
+    cr_assert(directory.find(TargetId("a"))->load() == Load {});
+    cr_assert(directory.find(TargetId("a"))->avoidUntil == SteadyTime {});
+    cr_assert_not(directory.put(reborn));
+}
+
+Test(directory, silent_peers_are_forgotten)
+{
+    TargetDirectory directory;
+    directory.put(target("a"));
+    directory.notePeerLoad(TargetId("a"), EntryId("peer"), { 2, 0, 0 }, Start);
+    cr_assert_eq(directory.find(TargetId("a"))->load().requests, 2U);
+    directory.expire(Start + TargetDirectory::PeerSilence);
+    cr_assert_eq(directory.find(TargetId("a"))->load().requests, 0U);
+}
+
+Test(choice, goes_to_the_least_loaded_and_comes_to_failing_ones_last)
+{
+    TargetDirectory directory;
+    directory.put(target("a"));
+    directory.put(target("b"));
+    directory.noteStarted(TargetId("a"), { 1, 0, 0 });
+    const std::vector<TargetState*> states = directory.usable(Pool, Start);
+    cr_assert(chooseTarget(states, {}, ZoneId(), 0, Start)->entry.id == TargetId("b"));
+    directory.noteResult(TargetId("b"), AttemptResult::Unreachable, Start);
+    cr_assert(chooseTarget(states, {}, ZoneId(), 0, Start)->entry.id == TargetId("a"));
+    // With no other target left, the failing one is better than none.
+    cr_assert(chooseTarget(states, { TargetId("a") }, ZoneId(), 0, Start)->entry.id
+        == TargetId("b"));
+    cr_assert_null(chooseTarget(states, { TargetId("a"), TargetId("b") }, ZoneId(), 0, Start));
+}
--- a/libs/storefeed/include/storefeed/StoreFeed.h
+++ b/libs/storefeed/include/storefeed/StoreFeed.h
@@ -13,9 +13,12 @@
 class StoreFeed {
 public:
     struct Handlers {
-        /** The whole range. @param mayHaveLapsed keys may be missing only since the store was away. */
-        std::function<void(std::span<const adapter::StoreItem>, bool mayHaveLapsed)> onRange;
-        std::function<void(const adapter::KeyChange&, bool mayHaveLapsed)> onChange;
+        /**
+         * The whole range. @param mayReturnUntil until then keys may be missing only since the store
+         * was away; the past when it was not.
+         */
+        std::function<void(std::span<const adapter::StoreItem>, SteadyTime mayReturnUntil)> onRange;
+        std::function<void(const adapter::KeyChange&, SteadyTime mayReturnUntil)> onChange;
     };
     struct Options {
         std::string prefix;
@@ -39,7 +42,7 @@
     void onWatch(const std::optional<channels::CallAnswer>& answer);
     void noteAnswer();
     void retryLater(std::string_view cause);
-    bool mayHaveLapsed() const;
+    SteadyTime mayReturnUntil() const;
     void send(const adapter::Call& call, Milliseconds limit,
         void (StoreFeed::*handler)(const std::optional<channels::CallAnswer>&));
 
--- a/libs/storefeed/src/StoreFeed.cpp
+++ b/libs/storefeed/src/StoreFeed.cpp
@@ -72,7 +72,7 @@
     }
     m_revision = m_rangeRevision;
     m_hasRange = true;
-    m_handlers.onRange(m_items, mayHaveLapsed());
+    m_handlers.onRange(m_items, mayReturnUntil());
     m_items.clear();
     watch();
 }
@@ -101,7 +101,7 @@
     }
     const adapter::Changes& changes = std::get<adapter::Changes>(decoded);
     for (const adapter::KeyChange& change : changes.changes)
-        m_handlers.onChange(change, mayHaveLapsed());
+        m_handlers.onChange(change, mayReturnUntil());
     m_revision = std::max(m_revision, changes.revision);
     watch();
 }
@@ -136,9 +136,9 @@
     });
 }
 
-bool StoreFeed::mayHaveLapsed() const
+SteadyTime StoreFeed::mayReturnUntil() const
 {
-    return m_returnedAt && steadyNow() - *m_returnedAt < LapseGrace;
+    return m_returnedAt ? *m_returnedAt + LapseGrace : SteadyTime {};
 }
 
 } // namespace citronspoke::storefeed
