Use most of the retry allowance and count both sends of a run begun again

Change: nine tenths of share and fixed part; the fixed part grows over one window after a start, since the process before may have spent it. Tests: allowance/* (a wave of lost answers, all entries together, restart, all sends).

--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -10,7 +10,8 @@
     , settings(settings)
     , zone(settings.zone)
     , targets(loop, {})
-    , retries({ settings.retries.share, settings.retries.fixedPart, settings.retries.window })
+    , retries({ settings.retries.share, settings.retries.fixedPart, settings.retries.window },
+          steadyNow())
     , m_random(std::random_device {}())
 {
 }
--- a/apps/gateway/RequestRun.cpp
+++ b/apps/gateway/RequestRun.cpp
@@ -439,11 +439,14 @@
 void RequestRun::tryAgain(bool mayHaveRun, std::string_view cause)
 {
     std::string_view obstacle;
-    const bool isSent = !m_attempt->exchange || m_attempt->exchange->isSent();
+    const bool isSent = m_attempt->exchange->isSent();
+    // A run that is begun again has its prompt read again first.
+    const bool readsAgain = mayHaveRun && m_attempt->step == Step::MakeTokens;
+    const uint32_t sends = (isSent ? 1 : 0) + (readsAgain ? 1 : 0);
     const bool isAllowed = !mayHaveRun || m_route->mayRepeat();
     if (!isAllowed)
         obstacle = "it may have run and may not be repeated";
-    if (isAllowed && mayTryAgain(isSent, obstacle)) {
+    if (isAllowed && mayTryAgain(sends, obstacle)) {
         sendNext();
         return;
     }
@@ -456,7 +459,7 @@
         fail(cause);
 }
 
-bool RequestRun::mayTryAgain(bool isSent, std::string_view& obstacle)
+bool RequestRun::mayTryAgain(uint32_t sends, std::string_view& obstacle)
 {
     if (m_attempts >= MostAttempts)
         obstacle = "too many attempts";
@@ -464,7 +467,7 @@
         obstacle = "the route's limit of targets";
     else if (timeLeft() < ShortestAttempt)
         obstacle = "no time left";
-    else if (isSent && !m_context.retries.trySpend(m_pool->id, steadyNow()))
+    else if (sends > 0 && !m_context.retries.trySpend(m_pool->id, sends, steadyNow()))
         obstacle = "the retry allowance is spent";
     return obstacle.empty();
 }
--- a/apps/gateway/RequestRun.h
+++ b/apps/gateway/RequestRun.h
@@ -91,7 +91,8 @@
     void passOnFailure();
     /** Tries again or gives up. @param mayHaveRun the attempt may have run. */
     void tryAgain(bool mayHaveRun, std::string_view cause);
-    bool mayTryAgain(bool isSent, std::string_view& obstacle);
+    /** @param sends that count as retries. @param obstacle is set when there is one. */
+    bool mayTryAgain(uint32_t sends, std::string_view& obstacle);
     void onDeadline();
 
     void refuse(uint32_t status, std::string_view cause, Milliseconds retryAfter);
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -204,11 +204,15 @@
         Milliseconds window { 10000 };
     };
 
-    explicit RetryAllowance(const Limits& limits);
+    /** @param start of this process; a process before it may have spent the fixed part just now. */
+    RetryAllowance(const Limits& limits, SteadyTime start);
     void updateEntries(uint32_t entries);
     void noteRequest(const PoolId& pool, SteadyTime now);
-    /** @return false when the allowance of that pool is spent; the retry must not be made. */
-    bool trySpend(const PoolId& pool, SteadyTime now);
+    /**
+     * @param sends that the retry makes.
+     * @return false when the allowance of that pool does not cover them; the retry must not be made.
+     */
+    bool trySpend(const PoolId& pool, uint32_t sends, SteadyTime now);
 
 private:
     struct History {
@@ -217,7 +221,10 @@
     };
     void dropOld(History& history, SteadyTime now) const;
 
+    double allowed(const History& history, SteadyTime now) const;
+
     Limits m_limits;
+    SteadyTime m_start;
     uint32_t m_entries = 0;
     std::map<PoolId, History> m_pools;
 };
