Give no work to old entries of restarted engines and say when engines are back

Change: a target that answers for another one gets no work until its entry changes; without any target the refusal names two seconds, or a third of the caller's time. Test: directory/old_entries_of_restarted_targets_get_no_work_until_they_change.

--- a/apps/gateway/RequestRun.cpp
+++ b/apps/gateway/RequestRun.cpp
@@ -21,6 +21,10 @@
     constexpr Milliseconds TrustedDeclarationAge { 4000 };
     constexpr Milliseconds ShortRetryAfter { 250 };
     constexpr Milliseconds StartRetryAfter { 1000 };
+    /** Targets that start again are in the store some heartbeats later. */
+    constexpr Milliseconds NoTargetRetryAfter { 2000 };
+    /** The longest wait that callers accept, as a part of the time that they have left. */
+    constexpr int CallerPatienceDivisor = 3;
     /** The target stops by itself at the deadline; its own answer gets this long to come. */
     constexpr Milliseconds DeadlineSlack { 30 };
     /** Idle connections whose lifetime nobody states are used this long for work that must not be
@@ -139,7 +143,8 @@
     if (isSent)
         return;
     if (m_ranOn.empty())
-        refuse(Unavailable, "no target", ShortRetryAfter);
+        refuse(Unavailable, "no target",
+            std::min(NoTargetRetryAfter, timeLeft() / CallerPatienceDivisor));
     else
         fail("no other target");
 }
@@ -349,7 +354,8 @@
         endAttempt(dispatch::AttemptResult::Served);
         break;
     case Outcome::NotExecuted:
-        endAttempt(dispatch::AttemptResult::Refused);
+        endAttempt(m_attempt->terms.isOtherTarget ? dispatch::AttemptResult::Replaced
+                                                  : dispatch::AttemptResult::Refused);
         break;
     case Outcome::NotSent:
         endAttempt(dispatch::AttemptResult::Unreachable);
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -53,7 +53,15 @@
 };
 
 /** How an attempt at a target went, as far as the target's health is concerned. */
-enum class AttemptResult : uint8_t { Served, Refused, Failed, Unreachable };
+enum class AttemptResult : uint8_t {
+    Served,
+    /** The target is there and did not take the work. */
+    Refused,
+    /** Another target, or another life of it, has the address; its entry is old. */
+    Replaced,
+    Failed,
+    Unreachable,
+};
 
 /** One target as this process knows it. */
 struct TargetState {
@@ -65,6 +73,8 @@
     uint32_t failuresInRow = 0;
     /** No work before this time, unless there is no other target. */
     SteadyTime avoidUntil {};
+    /** No work at all before this time: the entry is known to be old. */
+    SteadyTime replacedUntil {};
     /** Set when the entry is missing from the store but may return until then. */
     std::optional<SteadyTime> mayReturnUntil;
 
--- a/libs/dispatch/src/TargetDirectory.cpp
+++ b/libs/dispatch/src/TargetDirectory.cpp
@@ -8,6 +8,8 @@
 
     constexpr Milliseconds FirstAvoidance { 250 };
     constexpr Milliseconds LongestAvoidance { 4000 };
+    /** The entry of a target that is gone lapses after three heartbeats. */
+    constexpr Milliseconds OldEntryLifetime { 5000 };
     /** A single failure can be the request's own; a second one in a row is the target's. */
     constexpr uint32_t ToleratedFailures = 1;
 
@@ -50,8 +52,10 @@
         && state.entry.address == entry.address;
     if (!isSameLife)
         state = TargetState {};
-    if (state.entry != entry)
+    if (state.entry != entry) {
         m_version += 1;
+        state.replacedUntil = {};
+    }
     state.entry = entry;
     state.mayReturnUntil.reset();
     return !isSameLife;
@@ -113,7 +117,9 @@
 std::vector<TargetState*> TargetDirectory::usable(const PoolId& pool, SteadyTime now)
 {
     std::vector<TargetState*> states = present(pool, now);
-    std::erase_if(states, [](const TargetState* state) { return state->entry.isLeaving; });
+    std::erase_if(states, [now](const TargetState* state) {
+        return state->entry.isLeaving || state->replacedUntil > now;
+    });
     return states;
 }
 
@@ -160,6 +166,9 @@
         // A full target is left alone for a moment; it is not ill.
         state->avoidUntil = now + FirstAvoidance;
         return;
+    case AttemptResult::Replaced:
+        state->replacedUntil = now + OldEntryLifetime;
+        return;
     case AttemptResult::Failed:
         state->failuresInRow += 1;
         if (state->failuresInRow > ToleratedFailures)
--- a/libs/dispatch/tests/TargetDirectoryTests.cpp
+++ b/libs/dispatch/tests/TargetDirectoryTests.cpp
@@ -76,6 +76,20 @@
     cr_assert_eq(directory.find(TargetId("a"))->load().requests, 0U);
 }
 
+Test(directory, old_entries_of_restarted_targets_get_no_work_until_they_change)
+{
+    TargetDirectory directory;
+    directory.put(target("a"));
+    directory.noteResult(TargetId("a"), AttemptResult::Replaced, Start);
+    cr_assert_eq(directory.usable(Pool, Start).size(), 0U);
+    directory.put(target("a"));
+    cr_assert_eq(directory.usable(Pool, Start).size(), 0U, "The same entry is still old.");
+    fleet::TargetEntry changed = target("a");
+    changed.role = EngineRole::Prefill;
+    directory.put(changed);
+    cr_assert_eq(directory.usable(Pool, Start).size(), 1U);
+}
+
 Test(choice, goes_to_the_least_loaded_and_comes_to_failing_ones_last)
 {
     TargetDirectory directory;
