Read prompts by rank and size; let those that will be late give way

A trace of the order showed that an engine reads by priority (71 % of more urgent prompts overtake) and in order of arrival within one (5 %). Change: a prompt's urgency comes from its route's rank and, within it, from its size; one that is expected to miss its objective takes the last level. The speed of reading is learnt per pool. Load is counted and told by urgency. Tests: load_pattern/* (cold start, hot part, release, lookups beside huge prompts, short first, overload, half of the readers lost). Ruled out: refusing late prompts; they cost nobody else now and some are still served.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -9,6 +9,9 @@
     /** The balancer asks once a second and takes a VM out after two misses. */
     constexpr Milliseconds BalancerNotice { 2600 };
     constexpr Milliseconds StopCheckInterval { 50 };
+    constexpr Milliseconds WatchWait { 8000 };
+    /** A small part of the time in which leaving targets must get no new work. */
+    constexpr Milliseconds GatherPause { 250 };
     /** Left for the end of the process before it would be killed. */
     constexpr Milliseconds ExitMargin { 400 };
 
@@ -33,7 +36,7 @@
     , m_context(loop, settings)
     , m_storePool(loop, storeOptions())
     , m_declarations(loop, m_storePool, addressIn(settings.store),
-          { std::string(adapter::DeclarationPrefix), Milliseconds(2000) },
+          { std::string(adapter::DeclarationPrefix), storefeed::Watching {} },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime) {
                for (const adapter::StoreItem& item : items)
                    onDeclaration(item);
@@ -44,7 +47,7 @@
                       onDeclaration(written->item);
               } })
     , m_targets(loop, m_storePool, addressIn(settings.store),
-          { std::string(adapter::TargetPrefix), Milliseconds(2000) },
+          { std::string(adapter::TargetPrefix), storefeed::Watching { WatchWait, GatherPause } },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime mayReturnUntil) {
                onTargets(items, mayReturnUntil);
            },
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -20,6 +20,7 @@
     channels::ConnectionPool targets;
     dispatch::TargetDirectory directory;
     dispatch::CacheLedger ledger;
+    std::map<PoolId, dispatch::ReadSpeed> readSpeeds;
     dispatch::RetryAllowance retries;
     /** None until the operators' declaration is known. */
     std::shared_ptr<const dispatch::RouteTable> routes;
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -12,7 +12,6 @@
     constexpr Milliseconds RenewInterval { 2000 };
     constexpr Milliseconds RetryInterval { 500 };
     constexpr Milliseconds CallLimit { 1000 };
-    constexpr Milliseconds WatchWait { 5000 };
     /** Changes within this time travel in one datagram. */
     constexpr Milliseconds GatherTime { 5 };
     /** A quarter of the time after which peers forget what they heard. */
@@ -30,9 +29,9 @@
     , m_ownAddress(ownAddress)
     , m_id(context.settings.id)
     , m_startedAt(unixNow())
-    , m_feed(context.loop, storePool, store, { std::string(PeerPrefix), WatchWait },
+    , m_feed(context.loop, storePool, store, { std::string(PeerPrefix), storefeed::Polling {} },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onPeers(items); },
-              [this](const adapter::KeyChange& change, SteadyTime) { onPeerChange(change); } })
+              {} })
     , m_port(context.loop, ownAddress,
           [this](std::string_view datagram) { onDatagram(datagram); })
     , m_renewTimer(context.loop)
@@ -115,21 +114,12 @@
 
 void PeerGroup::onPeers(std::span<const adapter::StoreItem> items)
 {
+    const size_t before = m_peers.size();
     m_peers.clear();
     for (const adapter::StoreItem& item : items)
         put(item);
-    updateCount();
-}
-
-void PeerGroup::onPeerChange(const adapter::KeyChange& change)
-{
-    if (const adapter::KeyWritten* written = std::get_if<adapter::KeyWritten>(&change)) {
-        put(written->item);
-    } else {
-        const std::string& key = std::get<adapter::KeyRemoved>(change).key;
-        m_peers.erase(EntryId(key.substr(PeerPrefix.size())));
-    }
-    updateCount();
+    if (m_peers.size() != before)
+        updateCount();
 }
 
 void PeerGroup::put(const adapter::StoreItem& item)
--- a/apps/gateway/PeerGroup.h
+++ b/apps/gateway/PeerGroup.h
@@ -22,7 +22,6 @@
 
 private:
     void onPeers(std::span<const adapter::StoreItem> items);
-    void onPeerChange(const adapter::KeyChange& change);
     void put(const adapter::StoreItem& item);
     void updateCount();
     void announce();
--- a/apps/gateway/RequestRun.cpp
+++ b/apps/gateway/RequestRun.cpp
@@ -161,7 +161,7 @@
         states, m_avoided, m_context.zone, m_context.draw(), steadyNow());
     if (!state)
         return false;
-    dispatch::Load load { 1, 0, 0 };
+    dispatch::Load load { 1, {}, 0 };
     if (m_terms.prompt)
         load.cacheTokens = m_terms.prompt->tokens + m_terms.prompt->outputLimit;
     adapter::TargetTerms terms;
@@ -178,8 +178,10 @@
         = m_context.enginesInRole(m_pool->id, EngineRole::Prefill);
     const std::vector<dispatch::TargetState*> holders
         = m_context.directory.present(m_pool->id, steadyNow());
-    const dispatch::PromptPlacement placement = dispatch::placePrompt(
-        states, holders, *m_terms.prompt, m_context.ledger, m_avoided, steadyNow());
+    const dispatch::PromptGoal goal { m_route->priority, m_route->latencyObjective - age() };
+    const dispatch::PromptPlacement placement
+        = dispatch::placePrompt(states, holders, *m_terms.prompt, goal, m_context.ledger,
+            m_context.readSpeeds[m_pool->id], m_avoided, steadyNow());
     if (!placement.engine)
         return false;
     m_context.ledger.noteSent(
@@ -188,8 +190,11 @@
     terms.stage = adapter::ReadPrompt {};
     if (placement.fetchFrom)
         terms.fetchPartsFrom = placement.fetchFrom->entry.address;
-    send(Step::ReadPrompt, placement.engine->entry, { 1, placement.tokensToRead, 0 },
-        std::move(terms));
+    terms.priority = placement.urgency;
+    dispatch::Load load { 1, {}, 0 };
+    load.promptTokens[placement.urgency] = placement.tokensToRead;
+    send(Step::ReadPrompt, placement.engine->entry, load, std::move(terms));
+    m_attempt->tokensAhead = placement.tokensAhead;
     return true;
 }
 
@@ -203,7 +208,7 @@
         return false;
     adapter::TargetTerms terms;
     terms.stage = adapter::MakeTokens { m_prompt->reader.address, m_prompt->handle };
-    const dispatch::Load load { 1, 0, m_terms.prompt->tokens + m_terms.prompt->outputLimit };
+    const dispatch::Load load { 1, {}, m_terms.prompt->tokens + m_terms.prompt->outputLimit };
     send(Step::MakeTokens, state->entry, load, std::move(terms));
     return true;
 }
@@ -219,18 +224,20 @@
     m_attempt->step = step;
     m_attempt->target = target;
     m_attempt->load = load;
+    m_attempt->tokensToRead = load.tokensToRead();
     m_attempt->startedAt = steadyNow();
     terms.target = target.id;
     terms.timeLeft = std::max(Milliseconds(1), timeLeft());
     terms.lastEvent = m_lastEvent;
-    if (m_pool->engine)
+    if (m_pool->engine && !terms.priority)
         terms.priority = std::min(m_route->priority, LeastUrgent);
     m_context.noteStarted(target.id, load);
     telemetry::logInfo("request", "Sent.",
         { { "id", m_terms.attempt.text() }, { "attempt", std::to_string(m_attempts) },
             { "step", std::string(StepNames[static_cast<size_t>(step)]) },
             { "target", target.id.text() }, { "address", target.address.text() },
-            { "tokens", std::to_string(load.promptTokens) },
+            { "tokens", std::to_string(load.tokensToRead()) },
+            { "urgency", terms.priority ? std::to_string(*terms.priority) : "" },
             { "fetch", terms.fetchPartsFrom ? terms.fetchPartsFrom->text() : "" },
             { "left_ms", text(terms.timeLeft) } });
 
@@ -377,6 +384,8 @@
         try {
             m_prompt = ReadyPrompt { m_attempt->target,
                 adapter::decodePromptHandle(m_attempt->body) };
+            m_context.readSpeeds[m_pool->id].noteRead(m_attempt->tokensToRead,
+                m_attempt->tokensAhead, since(m_attempt->startedAt));
             m_context.noteParts(m_attempt->target.id, m_terms.prompt->parts);
             m_context.peers->noteParts(m_attempt->target.id, m_terms.prompt->parts);
             // Attempts at makers start with a clean record.
--- a/apps/gateway/RequestRun.h
+++ b/apps/gateway/RequestRun.h
@@ -53,6 +53,9 @@
         Step step = Step::RunWhole;
         fleet::TargetEntry target;
         dispatch::Load load;
+        /** Prompt tokens that the target reads before, as far as is known. */
+        uint64_t tokensAhead = 0;
+        uint64_t tokensToRead = 0;
         SteadyTime startedAt;
         channels::ExchangePointer exchange;
         std::optional<http1::ResponseHead> head;
--- a/apps/sidecar/RoleKeeper.cpp
+++ b/apps/sidecar/RoleKeeper.cpp
@@ -15,8 +15,6 @@
     constexpr Milliseconds StartPeriod { 8000 };
     /** An order without an answer may still be carried out; the engine is asked after this. */
     constexpr Milliseconds AfterOrder { 4000 };
-    /** The store keeps nothing for this process longer than a watch needs. */
-    constexpr Milliseconds WatchWait { 8000 };
     constexpr std::string_view HolderPrefix = "citronspoke/holders/";
 
     fleet::Address addressIn(const std::string& text)
@@ -34,9 +32,9 @@
     , m_engine(addressIn(settings.engine))
     , m_store(addressIn(settings.store))
     , m_pool(loop, {})
-    , m_feed(loop, m_pool, m_store, { std::string(adapter::TargetPrefix), WatchWait },
+    , m_feed(loop, m_pool, m_store, { std::string(adapter::TargetPrefix), storefeed::Polling {} },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onTargets(items); },
-              [this](const adapter::KeyChange& change, SteadyTime) { onTargetChange(change); } })
+              {} })
     , m_timer(loop)
     , m_startedAt(steadyNow())
 {
@@ -55,16 +53,6 @@
         put(item);
 }
 
-void RoleKeeper::onTargetChange(const adapter::KeyChange& change)
-{
-    if (const adapter::KeyWritten* written = std::get_if<adapter::KeyWritten>(&change)) {
-        put(written->item);
-        return;
-    }
-    const std::string& key = std::get<adapter::KeyRemoved>(change).key;
-    m_entries.erase(TargetId(key.substr(adapter::TargetPrefix.size())));
-}
-
 void RoleKeeper::put(const adapter::StoreItem& item)
 {
     try {
--- a/apps/sidecar/RoleKeeper.h
+++ b/apps/sidecar/RoleKeeper.h
@@ -17,7 +17,6 @@
 
 private:
     void onTargets(std::span<const adapter::StoreItem> items);
-    void onTargetChange(const adapter::KeyChange& change);
     void put(const adapter::StoreItem& item);
     void check();
     /** @return the role to order; none when the engine should stay as it is. */
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -2,6 +2,7 @@
 
 #include "fleet/Fleet.h"
 
+#include <array>
 #include <deque>
 #include <list>
 #include <map>
@@ -32,14 +33,25 @@
 /** @param draw uniform in [0, 1). @return the pool that serves this request. */
 const PoolId& choosePool(const fleet::Route& route, double draw);
 
+/** Levels in which engines order the reading of prompts; 0 goes first. */
+inline constexpr size_t UrgencyLevels = 10;
+using Urgency = uint8_t;
+/** For prompts that can no longer be on time; they take what the others leave. */
+inline constexpr Urgency LateUrgency = UrgencyLevels - 1;
+
 /** Work in flight at one target. */
 struct Load {
     uint32_t requests = 0;
-    /** Prompt tokens that still have to be read. */
-    uint64_t promptTokens = 0;
+    /** Prompt tokens that still have to be read, by urgency. */
+    std::array<uint64_t, UrgencyLevels> promptTokens {};
     /** Tokens that running requests hold in memory. */
     uint64_t cacheTokens = 0;
 
+    /** @return tokens that are read before a new prompt of that urgency. */
+    uint64_t tokensAhead(Urgency urgency) const;
+    /** @return all prompt tokens. */
+    uint64_t tokensToRead() const { return tokensAhead(LateUrgency); }
+
     Load& operator+=(const Load& other);
     /** Takes off what was added before. */
     Load& operator-=(const Load& other);
@@ -182,18 +194,44 @@
     const TargetState* fetchFrom = nullptr;
     /** Tokens that the chosen engine is expected to read. */
     uint64_t tokensToRead = 0;
+    /** Tokens that it reads before. */
+    uint64_t tokensAhead = 0;
+    Urgency urgency = 0;
+};
+
+/** Learns how fast the engines of a pool read prompts. */
+class ReadSpeed {
+public:
+    /** @param tokens that were read, and those that were read before. */
+    void noteRead(uint64_t tokens, uint64_t tokensAhead, Milliseconds took);
+    /** @return the time to read so many tokens; zero until the speed is known. */
+    Milliseconds estimate(uint64_t tokens) const;
+
+private:
+    double m_tokensPerMs = 0;
+};
+
+/** What decides the urgency of a prompt. */
+struct PromptGoal {
+    /** The route's rank; 0 is the most urgent. */
+    uint32_t priority = 0;
+    /** Until the answer has to begin. */
+    Milliseconds timeLeft { 0 };
 };
 
 /**
  * Chooses an engine to read a prompt: the one that is expected to be done first. Shared parts that
  * some engine has are fetched from there. Parts that nobody has are read at a home engine, which is
  * the same for all entries without talk, so that they are read once.
+ * Prompts are read by the rank of their routes, and within a rank the short ones first; one that
+ * is expected to be late gives way to all others.
  * @param readers engines that may get the prompt.
  * @param holders engines that other engines may fetch parts from; also those that are leaving.
  */
 PromptPlacement placePrompt(std::span<TargetState* const> readers,
-    std::span<TargetState* const> holders, const fleet::Prompt& prompt, const CacheLedger& ledger,
-    const std::set<TargetId>& tried, SteadyTime now);
+    std::span<TargetState* const> holders, const fleet::Prompt& prompt, const PromptGoal& goal,
+    const CacheLedger& ledger, const ReadSpeed& speed, const std::set<TargetId>& tried,
+    SteadyTime now);
 
 /**
  * Chooses an engine to make tokens: the one with the most free memory, near the reader.
--- a/libs/dispatch/src/PromptPlacement.cpp
+++ b/libs/dispatch/src/PromptPlacement.cpp
@@ -68,9 +68,53 @@
 
 } // namespace
 
+void ReadSpeed::noteRead(uint64_t tokens, uint64_t tokensAhead, Milliseconds took)
+{
+    // Short reads show the fixed cost of a step, and long queues mix in what others did.
+    constexpr uint64_t FewestTokens = 500;
+    constexpr double NewWeight = 0.1;
+    if (tokens < FewestTokens || tokensAhead > tokens || took <= Milliseconds(0))
+        return;
+    const double sample
+        = static_cast<double>(tokens + tokensAhead) / static_cast<double>(took.count());
+    m_tokensPerMs
+        = m_tokensPerMs == 0 ? sample : m_tokensPerMs + NewWeight * (sample - m_tokensPerMs);
+}
+
+Milliseconds ReadSpeed::estimate(uint64_t tokens) const
+{
+    if (m_tokensPerMs == 0)
+        return Milliseconds(0);
+    return Milliseconds(static_cast<int64_t>(static_cast<double>(tokens) / m_tokensPerMs));
+}
+
+namespace {
+
+    /** A prompt takes this much of its time to the answer at most to count as short or medium. */
+    constexpr int ShortDivisor = 8;
+    constexpr int MediumDivisor = 3;
+    constexpr uint32_t SizesPerRank = 3;
+    constexpr uint32_t LowestRank = LateUrgency / SizesPerRank - 1;
+    /** What is less urgent hardly delays a prompt, but will fill the engine after it. */
+    constexpr double LessUrgentShare = 0.1;
+
+    Urgency urgencyOf(const PromptGoal& goal, Milliseconds readTime)
+    {
+        const uint32_t rank = std::min(goal.priority, LowestRank);
+        uint32_t size = 2;
+        if (readTime <= goal.timeLeft / ShortDivisor)
+            size = 0;
+        else if (readTime <= goal.timeLeft / MediumDivisor)
+            size = 1;
+        return static_cast<Urgency>(rank * SizesPerRank + size);
+    }
+
+} // namespace
+
 PromptPlacement placePrompt(std::span<TargetState* const> readers,
-    std::span<TargetState* const> holders, const fleet::Prompt& prompt, const CacheLedger& ledger,
-    const std::set<TargetId>& tried, SteadyTime now)
+    std::span<TargetState* const> holders, const fleet::Prompt& prompt, const PromptGoal& goal,
+    const CacheLedger& ledger, const ReadSpeed& speed, const std::set<TargetId>& tried,
+    SteadyTime now)
 {
     const Source source = bestSource(holders, prompt, ledger, now);
     const std::string_view key = sharedKey(prompt);
@@ -89,7 +133,11 @@
         const bool fetches = source.engine && source.engine != reader && source.tokens > held;
         const uint64_t start = fetches ? std::min<uint64_t>(prompt.tokens, source.tokens) : held;
         const uint64_t toRead = prompt.tokens - start;
-        double cost = static_cast<double>(reader->load().promptTokens + toRead)
+        const Load load = reader->load();
+        const Urgency urgency = urgencyOf(goal, speed.estimate(toRead));
+        const uint64_t ahead = load.tokensAhead(urgency);
+        double cost = static_cast<double>(ahead + toRead)
+            + LessUrgentShare * static_cast<double>(load.tokensToRead() - ahead)
             + FetchCostShare * static_cast<double>(start - std::min(start, held));
         if (home && reader != home && held < shared)
             cost += static_cast<double>(shared - std::min(shared, start));
@@ -97,9 +145,11 @@
         if (best.engine && rank >= bestRank)
             continue;
         bestRank = rank;
-        best.engine = reader;
-        best.fetchFrom = fetches ? source.engine : nullptr;
-        best.tokensToRead = toRead;
+        best = { reader, fetches ? source.engine : nullptr, toRead, ahead, urgency };
+    }
+    if (best.engine && speed.estimate(best.tokensAhead + best.tokensToRead) > goal.timeLeft) {
+        best.urgency = LateUrgency;
+        best.tokensAhead = best.engine->load().tokensToRead();
     }
     return best;
 }
--- a/libs/dispatch/src/TargetDirectory.cpp
+++ b/libs/dispatch/src/TargetDirectory.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/Dispatch.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace citronspoke::dispatch {
 
@@ -24,7 +25,8 @@
 Load& Load::operator+=(const Load& other)
 {
     requests += other.requests;
-    promptTokens += other.promptTokens;
+    for (size_t level = 0; level < UrgencyLevels; ++level)
+        promptTokens[level] += other.promptTokens[level];
     cacheTokens += other.cacheTokens;
     return *this;
 }
@@ -32,11 +34,18 @@
 Load& Load::operator-=(const Load& other)
 {
     requests -= std::min(requests, other.requests);
-    promptTokens -= std::min(promptTokens, other.promptTokens);
+    for (size_t level = 0; level < UrgencyLevels; ++level)
+        promptTokens[level] -= std::min(promptTokens[level], other.promptTokens[level]);
     cacheTokens -= std::min(cacheTokens, other.cacheTokens);
     return *this;
 }
 
+uint64_t Load::tokensAhead(Urgency urgency) const
+{
+    return std::accumulate(
+        promptTokens.begin(), promptTokens.begin() + urgency + 1, uint64_t { 0 });
+}
+
 Load TargetState::load() const
 {
     Load sum = own;
--- /dev/null
+++ b/libs/dispatch/tests/PromptPlacementTests.cpp
@@ -0,0 +1,210 @@
+#include "dispatch/Dispatch.h"
+
+#include <criterion/criterion.h>
+
+using namespace citronspoke;
+using namespace citronspoke::dispatch;
+
+namespace {
+
+const PoolId Pool("engines");
+const SteadyTime Now { std::chrono::hours(1) };
+constexpr uint64_t Capacity = 450000;
+constexpr PromptGoal Relaxed { 2, Milliseconds(800) };
+
+/** A pool of engines that read prompts, and what the entries know of them. */
+struct Fleet {
+    explicit Fleet(int engines)
+    {
+        for (int index = 0; index < engines; ++index) {
+            fleet::TargetEntry entry;
+            entry.id = TargetId("engine-" + std::to_string(index));
+            entry.pool = Pool;
+            entry.address = { "10.0.0." + std::to_string(index + 1), 80 };
+            entry.slots = 64;
+            entry.role = EngineRole::Prefill;
+            directory.put(entry);
+        }
+        // 20 tokens in a millisecond.
+        speed.noteRead(10000, 0, Milliseconds(500));
+    }
+
+    PromptPlacement place(const fleet::Prompt& prompt, const PromptGoal& goal = Relaxed)
+    {
+        const std::vector<TargetState*> holders = directory.present(Pool, Now);
+        const std::vector<TargetState*> readers = directory.usable(Pool, Now);
+        return placePrompt(readers, holders, prompt, goal, ledger, speed, {}, Now);
+    }
+
+    /** Places the prompt and keeps it in flight. */
+    PromptPlacement send(const fleet::Prompt& prompt, const PromptGoal& goal = Relaxed)
+    {
+        const PromptPlacement placement = place(prompt, goal);
+        Load load { 1, {}, 0 };
+        load.promptTokens[placement.urgency] = placement.tokensToRead;
+        directory.noteStarted(placement.engine->entry.id, load);
+        ledger.noteSent(placement.engine->entry.id, Capacity, prompt.parts);
+        return placement;
+    }
+
+    /** Puts work on an engine without a prompt of its own. */
+    void load(const TargetId& engine, Urgency urgency, uint64_t tokens)
+    {
+        Load load { 1, {}, 0 };
+        load.promptTokens[urgency] = tokens;
+        directory.noteStarted(engine, load);
+    }
+
+    TargetDirectory directory;
+    CacheLedger ledger;
+    ReadSpeed speed;
+};
+
+fleet::Prompt prompt(const std::string& shared, uint32_t sharedTokens, uint32_t ownTokens)
+{
+    static int number = 0;
+    number += 1;
+    return { "model", sharedTokens + ownTokens, 20,
+        { { shared, sharedTokens }, { "own-" + std::to_string(number), ownTokens } } };
+}
+
+} // namespace
+
+Test(load_pattern, cold_start_with_empty_caches_reads_each_shared_part_once)
+{
+    Fleet first(10);
+    Fleet second(10);
+    // Two entries that know nothing of each other meet at one engine for the same part.
+    for (int document = 0; document < 20; ++document) {
+        const std::string shared = "document-" + std::to_string(document);
+        cr_expect(first.place(prompt(shared, 13000, 3000)).engine->entry.id
+            == second.place(prompt(shared, 13000, 3000)).engine->entry.id);
+    }
+}
+
+Test(load_pattern, second_request_for_a_cold_part_waits_where_it_is_being_read)
+{
+    Fleet fleet(10);
+    const TargetId reader = fleet.send(prompt("guide", 13000, 1000)).engine->entry.id;
+    const PromptPlacement second = fleet.send(prompt("guide", 13000, 1000));
+    cr_assert(second.engine->entry.id == reader);
+    cr_assert_eq(second.tokensToRead, 1000U);
+}
+
+Test(load_pattern, hot_shared_part_is_fetched_by_idle_engines)
+{
+    Fleet fleet(10);
+    const fleet::Prompt first = prompt("guide", 13000, 1000);
+    const TargetId holder = fleet.send(first).engine->entry.id;
+    fleet.ledger.noteRead(holder, Capacity, first.parts);
+    std::set<TargetId> engines;
+    for (int request = 0; request < 20; ++request) {
+        const PromptPlacement placement = fleet.send(prompt("guide", 13000, 1000));
+        engines.insert(placement.engine->entry.id);
+        cr_expect_eq(placement.tokensToRead, 1000U, "The part must not be read again.");
+        if (placement.engine->entry.id != holder && engines.size() == 2)
+            cr_expect_not_null(placement.fetchFrom);
+    }
+    cr_assert_geq(engines.size(), 8U, "One hot part must not crowd on one engine.");
+}
+
+Test(load_pattern, release_of_engines_keeps_the_parts_of_those_that_leave)
+{
+    Fleet fleet(4);
+    const fleet::Prompt first = prompt("guide", 13000, 1000);
+    const TargetId holder = fleet.send(first).engine->entry.id;
+    fleet.ledger.noteRead(holder, Capacity, first.parts);
+    fleet::TargetEntry leaving = fleet.directory.find(holder)->entry;
+    leaving.isLeaving = true;
+    fleet.directory.put(leaving);
+    const PromptPlacement placement = fleet.place(prompt("guide", 13000, 1000));
+    cr_assert(placement.engine->entry.id != holder);
+    cr_assert(placement.fetchFrom && placement.fetchFrom->entry.id == holder);
+    cr_assert_eq(placement.tokensToRead, 1000U);
+}
+
+Test(load_pattern, quick_lookups_beside_huge_prompts_go_first)
+{
+    Fleet fleet(2);
+    for (int request = 0; request < 4; ++request)
+        fleet.send(prompt("huge-" + std::to_string(request), 10, 15000));
+    const PromptPlacement lookup = fleet.place(prompt("", 0, 900), { 0, Milliseconds(500) });
+    cr_assert_lt(lookup.urgency, Urgency(3));
+    cr_assert_eq(lookup.tokensAhead, 0U);
+}
+
+Test(load_pattern, within_a_rank_short_prompts_go_before_long_ones)
+{
+    Fleet fleet(1);
+    const PromptPlacement shorter = fleet.place(prompt("", 0, 1500));
+    const PromptPlacement longer = fleet.place(prompt("", 0, 12000));
+    cr_assert_lt(shorter.urgency, longer.urgency);
+    cr_assert_lt(longer.urgency, LateUrgency);
+}
+
+Test(load_pattern, overload_lets_late_prompts_give_way)
+{
+    Fleet fleet(1);
+    fleet.load(TargetId("engine-0"), 6, 14000);
+    // 14,000 tokens before it take 700 of its 800 ms.
+    const PromptPlacement late = fleet.place(prompt("", 0, 4000));
+    cr_assert_eq(late.urgency, LateUrgency);
+    Fleet crowded(1);
+    crowded.load(TargetId("engine-0"), LateUrgency, 100000);
+    cr_assert_eq(crowded.place(prompt("", 0, 1500)).tokensAhead, 0U,
+        "Late prompts must not delay those that can be on time.");
+}
+
+Test(load_pattern, half_of_the_readers_lost_leaves_the_rest_evenly_loaded)
+{
+    Fleet fleet(10);
+    for (int index = 0; index < 5; ++index)
+        fleet.directory.remove(TargetId("engine-" + std::to_string(index)), SteadyTime {}, Now);
+    std::map<TargetId, uint64_t> tokens;
+    for (int request = 0; request < 50; ++request) {
+        const PromptPlacement placement = fleet.send(prompt("", 0, 2000));
+        tokens[placement.engine->entry.id] += placement.tokensToRead;
+    }
+    cr_assert_eq(tokens.size(), 5U);
+    for (const auto& [engine, sum] : tokens)
+        cr_expect_eq(sum, 20000U);
+}
+
+Test(placement, falls_back_to_failing_engines_only_without_others)
+{
+    Fleet fleet(2);
+    fleet.directory.noteResult(TargetId("engine-0"), AttemptResult::Unreachable, Now);
+    cr_assert(fleet.place(prompt("", 0, 100)).engine->entry.id == TargetId("engine-1"));
+    fleet.directory.noteResult(TargetId("engine-1"), AttemptResult::Replaced, Now);
+    cr_assert(fleet.place(prompt("", 0, 100)).engine->entry.id == TargetId("engine-0"));
+    fleet.directory.noteResult(TargetId("engine-0"), AttemptResult::Replaced, Now);
+    cr_assert_null(fleet.place(prompt("", 0, 100)).engine);
+}
+
+Test(ledger, forgets_least_recently_used_parts_and_those_that_were_not_read)
+{
+    CacheLedger ledger;
+    const TargetId engine("e");
+    const std::vector<fleet::PromptPart> old { { "old", 60 } };
+    const std::vector<fleet::PromptPart> fresh { { "fresh", 60 } };
+    ledger.noteRead(engine, 100, old);
+    ledger.noteRead(engine, 100, fresh);
+    cr_assert_eq(ledger.holding(engine, old).ready, 0U);
+    cr_assert_eq(ledger.holding(engine, fresh).ready, 60U);
+    ledger.noteSent(engine, 100, old);
+    cr_assert_eq(ledger.holding(engine, old).ready, 0U);
+    cr_assert_eq(ledger.holding(engine, old).expected, 60U);
+    ledger.noteNotRead(engine, old);
+    cr_assert_eq(ledger.holding(engine, old).expected, 0U);
+    ledger.forget(engine);
+    cr_assert_eq(ledger.holding(engine, fresh).expected, 0U);
+}
+
+Test(makers, the_one_with_the_least_memory_taken_near_the_reader)
+{
+    Fleet fleet(3);
+    fleet.directory.noteStarted(TargetId("engine-0"), { 1, {}, 5000 });
+    const std::vector<TargetState*> makers = fleet.directory.usable(Pool, Now);
+    cr_assert(chooseTokenMaker(makers, { TargetId("engine-1") }, ZoneId(), Now)->entry.id
+        == TargetId("engine-2"));
+}
--- a/libs/dispatch/tests/TargetDirectoryTests.cpp
+++ b/libs/dispatch/tests/TargetDirectoryTests.cpp
@@ -56,7 +56,7 @@
 {
     TargetDirectory directory;
     directory.put(target("a"));
-    directory.noteStarted(TargetId("a"), { 3, 100, 200 });
+    directory.noteStarted(TargetId("a"), { 3, {}, 200 });
     directory.noteResult(TargetId("a"), AttemptResult::Unreachable, Start);
     fleet::TargetEntry reborn = target("a");
     reborn.startedAt = UnixMillis(2);
@@ -70,7 +70,7 @@
 {
     TargetDirectory directory;
     directory.put(target("a"));
-    directory.notePeerLoad(TargetId("a"), EntryId("peer"), { 2, 0, 0 }, Start);
+    directory.notePeerLoad(TargetId("a"), EntryId("peer"), { 2, {}, 0 }, Start);
     cr_assert_eq(directory.find(TargetId("a"))->load().requests, 2U);
     directory.expire(Start + TargetDirectory::PeerSilence);
     cr_assert_eq(directory.find(TargetId("a"))->load().requests, 0U);
@@ -95,7 +95,7 @@
     TargetDirectory directory;
     directory.put(target("a"));
     directory.put(target("b"));
-    directory.noteStarted(TargetId("a"), { 1, 0, 0 });
+    directory.noteStarted(TargetId("a"), { 1, {}, 0 });
     const std::vector<TargetState*> states = directory.usable(Pool, Start);
     cr_assert(chooseTarget(states, {}, ZoneId(), 0, Start)->entry.id == TargetId("b"));
     directory.noteResult(TargetId("b"), AttemptResult::Unreachable, Start);
--- a/libs/peers/src/Codec.cpp
+++ b/libs/peers/src/Codec.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-    using LoadTuple = std::tuple<std::string, uint32_t, uint64_t, uint64_t>;
+    using LoadTuple = std::tuple<std::string, uint32_t,
+        std::array<uint64_t, dispatch::UrgencyLevels>, uint64_t>;
     using PartTuple = std::tuple<std::string, uint32_t>;
     using PartsTuple = std::tuple<std::string, std::vector<PartTuple>>;
     using UpdateTuple = std::tuple<std::string, int64_t, uint64_t, std::vector<LoadTuple>,
--- a/libs/storefeed/include/storefeed/StoreFeed.h
+++ b/libs/storefeed/include/storefeed/StoreFeed.h
@@ -6,8 +6,22 @@
 /** Follows keys of the platform's store. */
 namespace citronspoke::storefeed {
 
+/** Changes are reported as they come; each answer costs a call. */
+struct Watching {
+    /** How long the store holds back a watch that has nothing to say. */
+    Milliseconds wait { 8000 };
+    /** A pause after changes, in which further ones gather. */
+    Milliseconds gather { 0 };
+};
+/** The range is read again and again; answers may be seconds old and cost little. */
+struct Polling {
+    Milliseconds interval { 3000 };
+    /** Used in the first seconds of the process. */
+    Milliseconds intervalAtStart { 1000 };
+};
+
 /**
- * Follows all keys below a prefix: reads the range once, then watches. While the store cannot be
+ * Follows all keys below a prefix: reads the range once, then watches, or reads it repeatedly. While the store cannot be
  * reached, what was read last stays valid and grows old.
  */
 class StoreFeed {
@@ -22,8 +36,7 @@
     };
     struct Options {
         std::string prefix;
-        /** How long the store holds back a watch that has nothing to say. */
-        Milliseconds watchWait { 2000 };
+        std::variant<Watching, Polling> mode;
     };
 
     StoreFeed(channels::EventLoop& loop, channels::ConnectionPool& pool,
@@ -38,7 +51,9 @@
 private:
     void readPage(std::string after);
     void onPage(const std::optional<channels::CallAnswer>& answer);
-    void watch();
+    void goOn();
+    void watch(const Watching& watching);
+    void readAgainLater(const Polling& polling);
     void onWatch(const std::optional<channels::CallAnswer>& answer);
     void noteAnswer();
     void retryLater(std::string_view cause);
@@ -52,6 +67,7 @@
     Options m_options;
     Handlers m_handlers;
     channels::Timer m_timer;
+    SteadyTime m_startedAt;
     std::shared_ptr<void> m_call;
     std::vector<adapter::StoreItem> m_items;
     adapter::StoreRevision m_rangeRevision;
--- a/libs/storefeed/src/StoreFeed.cpp
+++ b/libs/storefeed/src/StoreFeed.cpp
@@ -16,6 +16,15 @@
     constexpr Milliseconds LapseGrace { 2000 };
     /** A shorter absence of the store lets no target's entry lapse. */
     constexpr Milliseconds ShortestLapse { 1500 };
+    constexpr Milliseconds StartPeriod { 10000 };
+
+    struct LongestSilence {
+        Milliseconds operator()(const Watching& watching) const
+        {
+            return watching.wait + watching.gather;
+        }
+        Milliseconds operator()(const Polling& polling) const { return polling.interval; }
+    };
 
 } // namespace
 
@@ -27,6 +36,7 @@
     , m_options(options)
     , m_handlers(std::move(handlers))
     , m_timer(loop)
+    , m_startedAt(steadyNow())
 {
 }
 
@@ -51,7 +61,10 @@
 {
     if (after.empty())
         m_items.clear();
-    send(adapter::rangeCall(m_options.prefix, after), AnswerLimit, &StoreFeed::onPage);
+    const adapter::Freshness freshness = std::holds_alternative<Polling>(m_options.mode)
+        ? adapter::Freshness::MayBeOld
+        : adapter::Freshness::Newest;
+    send(adapter::rangeCall(m_options.prefix, after, freshness), AnswerLimit, &StoreFeed::onPage);
 }
 
 void StoreFeed::onPage(const std::optional<channels::CallAnswer>& answer)
@@ -74,13 +87,28 @@
     m_hasRange = true;
     m_handlers.onRange(m_items, mayReturnUntil());
     m_items.clear();
-    watch();
+    goOn();
+}
+
+void StoreFeed::goOn()
+{
+    if (const Watching* watching = std::get_if<Watching>(&m_options.mode))
+        watch(*watching);
+    else
+        readAgainLater(std::get<Polling>(m_options.mode));
+}
+
+void StoreFeed::watch(const Watching& watching)
+{
+    send(adapter::watchCall(m_options.prefix, m_revision, watching.wait),
+        watching.wait + AnswerLimit, &StoreFeed::onWatch);
 }
 
-void StoreFeed::watch()
+void StoreFeed::readAgainLater(const Polling& polling)
 {
-    send(adapter::watchCall(m_options.prefix, m_revision, m_options.watchWait),
-        m_options.watchWait + AnswerLimit, &StoreFeed::onWatch);
+    const bool isAtStart = steadyNow() - m_startedAt < StartPeriod;
+    const Milliseconds interval = isAtStart ? polling.intervalAtStart : polling.interval;
+    m_timer.arm(jittered(interval), [this] { readPage({}); });
 }
 
 void StoreFeed::onWatch(const std::optional<channels::CallAnswer>& answer)
@@ -103,7 +131,11 @@
     for (const adapter::KeyChange& change : changes.changes)
         m_handlers.onChange(change, mayReturnUntil());
     m_revision = std::max(m_revision, changes.revision);
-    watch();
+    const Milliseconds gather = std::get<Watching>(m_options.mode).gather;
+    if (changes.changes.empty() || gather == Milliseconds(0))
+        goOn();
+    else
+        m_timer.arm(gather, [this] { goOn(); });
 }
 
 void StoreFeed::noteAnswer()
@@ -112,7 +144,7 @@
     if (m_failures > 0 || !m_lastAnswer) {
         telemetry::logInfo("store", "The store answers.",
             { { "prefix", m_options.prefix }, { "failures", std::to_string(m_failures) } });
-        if (m_lastAnswer && now - *m_lastAnswer >= ShortestLapse + m_options.watchWait)
+        if (m_lastAnswer && now - *m_lastAnswer >= ShortestLapse + std::visit(LongestSilence {}, m_options.mode))
             m_returnedAt = now;
     }
     m_failures = 0;
@@ -130,7 +162,7 @@
     const Milliseconds pause = std::min(LongestPause, FirstPause * (1 << doublings));
     m_timer.arm(jittered(pause), [this] {
         if (m_hasRange)
-            watch();
+            goOn();
         else
             readPage({});
     });
