--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -9,7 +9,8 @@
     /** The balancer asks once a second and takes a VM out after two misses. */
     constexpr Milliseconds BalancerNotice { 2600 };
     constexpr Milliseconds StopCheckInterval { 50 };
-    constexpr Milliseconds WatchWait { 8000 };
+    /** A watch that went deaf is noticed within the time in which a declaration must be in force. */
+    constexpr Milliseconds WatchWait { 2000 };
     /** A small part of the time in which leaving targets must get no new work. */
     constexpr Milliseconds GatherPause { 250 };
     /** Left for the end of the process before it would be killed. */
@@ -36,7 +37,7 @@
     , m_context(loop, settings)
     , m_storePool(loop, storeOptions())
     , m_declarations(loop, m_storePool, addressIn(settings.store),
-          { std::string(adapter::DeclarationPrefix), storefeed::Watching {} },
+          { std::string(adapter::DeclarationPrefix), storefeed::Watching { WatchWait, Milliseconds(0) } },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime) {
                for (const adapter::StoreItem& item : items)
                    onDeclaration(item);
--- a/libs/storefeed/include/storefeed/StoreFeed.h
+++ b/libs/storefeed/include/storefeed/StoreFeed.h
@@ -9,7 +9,7 @@
 /** Changes are reported as they come; each answer costs a call. */
 struct Watching {
     /** How long the store holds back a watch that has nothing to say. */
-    Milliseconds wait { 8000 };
+    Milliseconds wait { 0 };
     /** A pause after changes, in which further ones gather. */
     Milliseconds gather { 0 };
 };
