Rank token makers by their registration in the store

Change: the revision at which an entry came into the store ranks the engines. Test: roles/a_replaced_engine_that_starts_as_a_maker_moves_no_older_one uses it. Ruled out: different plans of sidecars and gateways; both moved the same older engines.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -108,7 +108,7 @@
 std::optional<fleet::TargetEntry> Gateway::decodeTarget(const adapter::StoreItem& item) const
 {
     try {
-        return adapter::decodeTarget(item.key, item.value);
+        return adapter::decodeTarget(item);
     } catch (const adapter::DocumentUnreadable& unreadable) {
         telemetry::logWarning("targets", "Skipped an entry.",
             { { "key", item.key }, { "cause", unreadable.describe() } });
--- a/apps/sidecar/RoleKeeper.cpp
+++ b/apps/sidecar/RoleKeeper.cpp
@@ -56,7 +56,7 @@
 void RoleKeeper::put(const adapter::StoreItem& item)
 {
     try {
-        const fleet::TargetEntry entry = adapter::decodeTarget(item.key, item.value);
+        const fleet::TargetEntry entry = adapter::decodeTarget(item);
         m_entries[entry.id] = entry;
     } catch (const adapter::DocumentUnreadable& unreadable) {
         m_entries.erase(TargetId(item.key.substr(adapter::TargetPrefix.size())));
--- a/libs/dispatch/src/RolePlan.cpp
+++ b/libs/dispatch/src/RolePlan.cpp
@@ -25,7 +25,8 @@
     // Engines that make tokens already stay, the oldest first, so that a newcomer moves none.
     std::sort(ranked.begin(), ranked.end(),
         [](const fleet::TargetEntry* left, const fleet::TargetEntry* right) {
-            return std::tie(left->startedAt, left->id) < std::tie(right->startedAt, right->id);
+            return std::tie(left->registration, left->id)
+                < std::tie(right->registration, right->id);
         });
     // Zones take turns, so that the loss of one leaves makers in the others.
     std::map<std::pair<bool, ZoneId>, size_t> seenInZone;
--- a/libs/dispatch/tests/RolePlanTests.cpp
+++ b/libs/dispatch/tests/RolePlanTests.cpp
@@ -7,14 +7,14 @@
 
 namespace {
 
-fleet::TargetEntry engine(const std::string& id, EngineRole role, int64_t startedAt,
+fleet::TargetEntry engine(const std::string& id, EngineRole role, int64_t registration,
     const std::string& zone = "zone-a")
 {
     fleet::TargetEntry entry;
     entry.id = TargetId(id);
     entry.zone = ZoneId(zone);
     entry.role = role;
-    entry.startedAt = UnixMillis(startedAt);
+    entry.registration = fleet::Registration(registration);
     return entry;
 }
 
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -5,6 +5,9 @@
 /** What the operators declare and what the targets say of themselves, in our own types. */
 namespace citronspoke::fleet {
 
+/** The order in which targets came to the store. */
+using Registration = Number<struct RegistrationTag>;
+
 /** Where a target or store listens. */
 struct Address {
     std::string ip;
@@ -106,6 +109,8 @@
     std::optional<EngineRole> role;
     /** When the target started; with the id it names one life of the target. */
     UnixMillis startedAt;
+    /** Grows from one registration in the store to the next. */
+    Registration registration;
 
     bool operator==(const TargetEntry&) const = default;
 };
