--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -17,8 +17,8 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(GatewayContext& context, channels::ConnectionPointer connection,
-    std::function<void()> onClosed)
+CallerConnection::CallerConnection(
+    GatewayContext& context, channels::ConnectionPointer connection, std::function<void()> onClosed)
     : m_context(context)
     , m_connection(std::move(connection))
     , m_onClosed(std::move(onClosed))
@@ -113,8 +113,8 @@
     run->start();
 }
 
-void CallerConnection::respond(uint32_t status, std::string_view reason,
-    const http1::Headers& headers, std::string_view body)
+void CallerConnection::respond(
+    uint32_t status, std::string_view reason, const http1::Headers& headers, std::string_view body)
 {
     http1::Headers whole = headers;
     whole.add("Content-Length", std::to_string(body.size()));
@@ -175,7 +175,8 @@
         status = 413;
         reason = "Content Too Large";
     }
-    telemetry::logWarning("caller", "Rejected a message.", { { "status", std::to_string(status) } });
+    telemetry::logWarning(
+        "caller", "Rejected a message.", { { "status", std::to_string(status) } });
     telemetry::count("rejected_messages", { { "status", std::to_string(status) } });
     m_closesAfterAnswer = true;
     m_pending.clear();
@@ -184,9 +185,8 @@
 
 void CallerConnection::armTimer()
 {
-    const fleet::CallerLimits limits = m_context.routes
-        ? m_context.routes->declaration().limits
-        : fleet::CallerLimits {};
+    const fleet::CallerLimits limits
+        = m_context.routes ? m_context.routes->declaration().limits : fleet::CallerLimits {};
     const std::weak_ptr<CallerConnection> weak = weak_from_this();
     m_timer.arm(m_parser.isBetweenMessages() ? limits.idleTimeout : limits.headTimeout, [weak] {
         if (const std::shared_ptr<CallerConnection> self = weak.lock())
@@ -216,7 +216,7 @@
     if (m_run) {
         m_run->callerLeft();
         // The run may be on the stack.
-        m_context.loop.post([run = std::move(m_run)] { });
+        m_context.loop.post([run = std::move(m_run)] {});
     }
     m_onClosed();
 }
--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -9,7 +9,8 @@
     /** The balancer asks once a second and takes a VM out after two misses. */
     constexpr Milliseconds BalancerNotice { 2600 };
     constexpr Milliseconds StopCheckInterval { 50 };
-    /** A watch that went deaf is noticed within the time in which a declaration must be in force. */
+    /** A watch that went deaf is noticed within the time in which a declaration must be in force.
+     */
     constexpr Milliseconds WatchWait { 2000 };
     /** A small part of the time in which leaving targets must get no new work. */
     constexpr Milliseconds GatherPause { 250 };
@@ -37,7 +38,8 @@
     , m_context(loop, settings)
     , m_storePool(loop, storeOptions())
     , m_declarations(loop, m_storePool, addressIn(settings.store),
-          { std::string(adapter::DeclarationPrefix), storefeed::Watching { WatchWait, Milliseconds(0) } },
+          { std::string(adapter::DeclarationPrefix),
+              storefeed::Watching { WatchWait, Milliseconds(0) } },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime) {
                for (const adapter::StoreItem& item : items)
                    onDeclaration(item);
@@ -55,12 +57,12 @@
               [this](const adapter::KeyChange& change, SteadyTime mayReturnUntil) {
                   onTargetChange(change, mayReturnUntil);
               } })
-    , m_peers(m_context, m_storePool, addressIn(settings.store),
-          addressIn(settings.operatorAddress))
+    , m_peers(
+          m_context, m_storePool, addressIn(settings.store), addressIn(settings.operatorAddress))
     , m_listener(std::make_unique<channels::Listener>(loop, addressIn(settings.callers),
           [this](channels::ConnectionPointer connection) { accept(std::move(connection)); }))
-    , m_readiness(
-          loop, addressIn(settings.readiness), [this](std::string_view) { return answerReadiness(); })
+    , m_readiness(loop, addressIn(settings.readiness),
+          [this](std::string_view) { return answerReadiness(); })
     , m_operator(loop, addressIn(settings.operatorAddress),
           [](std::string_view) {
               return channels::PageServer::Page { 200, "text/plain", telemetry::metricsText() };
@@ -203,8 +205,8 @@
 void Gateway::checkStopped()
 {
     if (m_connections.empty() || steadyNow() >= m_stopAt) {
-        telemetry::logInfo("gateway", "Stopped.",
-            { { "unfinished", std::to_string(m_connections.size()) } });
+        telemetry::logInfo(
+            "gateway", "Stopped.", { { "unfinished", std::to_string(m_connections.size()) } });
         m_loop.stop();
         return;
     }
--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -4,8 +4,7 @@
 
 namespace citronspoke::gateway {
 
-GatewayContext::GatewayContext(
-    channels::EventLoop& loop, const settings::GatewaySettings& settings)
+GatewayContext::GatewayContext(channels::EventLoop& loop, const settings::GatewaySettings& settings)
     : loop(loop)
     , settings(settings)
     , zone(settings.zone)
@@ -35,8 +34,7 @@
         peers->noteLoad(target, state->own);
 }
 
-void GatewayContext::noteParts(
-    const TargetId& engine, std::span<const fleet::PromptPart> parts)
+void GatewayContext::noteParts(const TargetId& engine, std::span<const fleet::PromptPart> parts)
 {
     const dispatch::TargetState* state = directory.find(engine);
     if (!state || !routes)
@@ -65,8 +63,8 @@
     const PoolId& pool, EngineRole role)
 {
     std::vector<dispatch::TargetState*> inRole = directory.usable(pool, steadyNow());
-    std::erase_if(inRole,
-        [role](const dispatch::TargetState* state) { return state->entry.role != role; });
+    std::erase_if(
+        inRole, [role](const dispatch::TargetState* state) { return state->entry.role != role; });
     const std::set<TargetId>& makers = plannedMakers(pool);
     std::vector<dispatch::TargetState*> staying = inRole;
     std::erase_if(staying, [&makers](const dispatch::TargetState* state) {
@@ -75,9 +73,6 @@
     return staying.empty() ? inRole : staying;
 }
 
-double GatewayContext::draw()
-{
-    return std::uniform_real_distribution<double>(0, 1)(m_random);
-}
+double GatewayContext::draw() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
 } // namespace citronspoke::gateway
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -30,10 +30,8 @@
     , m_id(context.settings.id)
     , m_startedAt(unixNow())
     , m_feed(context.loop, storePool, store, { std::string(PeerPrefix), storefeed::Polling {} },
-          { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onPeers(items); },
-              {} })
-    , m_port(context.loop, ownAddress,
-          [this](std::string_view datagram) { onDatagram(datagram); })
+          { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onPeers(items); }, {} })
+    , m_port(context.loop, ownAddress, [this](std::string_view datagram) { onDatagram(datagram); })
     , m_renewTimer(context.loop)
     , m_sendTimer(context.loop)
     , m_repeatTimer(context.loop)
@@ -56,8 +54,8 @@
             try {
                 handler(answer);
             } catch (const Error& error) {
-                telemetry::logWarning("peers", "The store refused a call.",
-                    { { "cause", error.describe() } });
+                telemetry::logWarning(
+                    "peers", "The store refused a call.", { { "cause", error.describe() } });
                 renewLater(RetryInterval);
             }
         });
@@ -133,8 +131,8 @@
 {
     const SteadyTime now = steadyNow();
     m_recentCounts[static_cast<uint32_t>(m_peers.size())] = now;
-    std::erase_if(m_recentCounts,
-        [now](const auto& item) { return now - item.second > CountMemory; });
+    std::erase_if(
+        m_recentCounts, [now](const auto& item) { return now - item.second > CountMemory; });
     // While gateways come and go, the larger count gives the smaller allowance.
     m_context.retries.updateEntries(m_recentCounts.rbegin()->first);
     telemetry::logInfo("peers", "The gateways changed.",
--- a/apps/gateway/RequestRun.cpp
+++ b/apps/gateway/RequestRun.cpp
@@ -157,8 +157,8 @@
     std::erase_if(states, [](const dispatch::TargetState* state) {
         return state->entry.role == EngineRole::Prefill;
     });
-    dispatch::TargetState* state = dispatch::chooseTarget(
-        states, m_avoided, m_context.zone, m_context.draw(), steadyNow());
+    dispatch::TargetState* state
+        = dispatch::chooseTarget(states, m_avoided, m_context.zone, m_context.draw(), steadyNow());
     if (!state)
         return false;
     dispatch::Load load { 1, {}, 0 };
@@ -382,10 +382,10 @@
 {
     if (outcome == Outcome::Served) {
         try {
-            m_prompt = ReadyPrompt { m_attempt->target,
-                adapter::decodePromptHandle(m_attempt->body) };
-            m_context.readSpeeds[m_pool->id].noteRead(m_attempt->tokensToRead,
-                m_attempt->tokensAhead, since(m_attempt->startedAt));
+            m_prompt
+                = ReadyPrompt { m_attempt->target, adapter::decodePromptHandle(m_attempt->body) };
+            m_context.readSpeeds[m_pool->id].noteRead(
+                m_attempt->tokensToRead, m_attempt->tokensAhead, since(m_attempt->startedAt));
             m_context.noteParts(m_attempt->target.id, m_terms.prompt->parts);
             m_context.peers->noteParts(m_attempt->target.id, m_terms.prompt->parts);
             // Attempts at makers start with a clean record.
@@ -397,8 +397,13 @@
                 { { "id", m_terms.attempt.text() }, { "cause", unreadable.describe() } });
         }
     }
-    m_avoided.insert(m_attempt->target.id);
-    m_context.ledger.noteNotRead(m_attempt->target.id, m_terms.prompt->parts);
+    // An engine whose answer was lost has probably read the prompt; there it costs nothing again.
+    const bool isFirstLoss
+        = outcome == Outcome::Unknown && m_lostAnswers.insert(m_attempt->target.id).second;
+    if (!isFirstLoss) {
+        m_avoided.insert(m_attempt->target.id);
+        m_context.ledger.noteNotRead(m_attempt->target.id, m_terms.prompt->parts);
+    }
     // Reading a prompt runs nothing, so that any outcome lets it be read elsewhere.
     tryAgain(false, "the prompt was not read");
 }
@@ -491,8 +496,8 @@
 {
     if (m_isOver)
         return;
-    const bool isRunning = m_attempt && m_attempt->step != Step::ReadPrompt
-        && m_attempt->exchange && m_attempt->exchange->isSent();
+    const bool isRunning = m_attempt && m_attempt->step != Step::ReadPrompt && m_attempt->exchange
+        && m_attempt->exchange->isSent();
     if (m_hasBegunAnswer) {
         m_writer->abort();
         finish("broken", 0, "deadline");
--- a/apps/gateway/RequestRun.h
+++ b/apps/gateway/RequestRun.h
@@ -120,6 +120,8 @@
     uint32_t m_attempts = 0;
     /** Targets that have, or may have, run the request. */
     std::set<TargetId> m_ranOn;
+    /** Engines whose answer to a reading was lost once. */
+    std::set<TargetId> m_lostAnswers;
     /** Targets that should not be asked again. */
     std::set<TargetId> m_avoided;
     std::optional<uint64_t> m_lastEvent;
--- a/apps/sidecar/RoleKeeper.cpp
+++ b/apps/sidecar/RoleKeeper.cpp
@@ -134,8 +134,8 @@
 
 void RoleKeeper::callEngine(const adapter::Call& call, channels::CallHandler handler)
 {
-    m_call = channels::call(m_loop, m_pool, { m_engine, {} },
-        adapter::composeCall(call, m_engine), CallLimit,
+    m_call = channels::call(m_loop, m_pool, { m_engine, {} }, adapter::composeCall(call, m_engine),
+        CallLimit,
         [this, handler = std::move(handler)](const std::optional<channels::CallAnswer>& answer) {
             const std::shared_ptr<void> finished = std::exchange(m_call, nullptr);
             handler(answer);
@@ -144,8 +144,8 @@
 
 void RoleKeeper::readReport(EngineRole wanted)
 {
-    callEngine(adapter::reportCall(),
-        [this, wanted](const std::optional<channels::CallAnswer>& answer) {
+    callEngine(
+        adapter::reportCall(), [this, wanted](const std::optional<channels::CallAnswer>& answer) {
             try {
                 if (answer && answer->status == 200) {
                     const fleet::EngineReport report = adapter::decodeReport(answer->body);
@@ -175,8 +175,8 @@
             { "fence", std::to_string(m_fence->value()) },
             { "orders_before", std::to_string(report.orders.value()) },
             { "running", std::to_string(report.running) } });
-    callEngine(adapter::roleOrderCall(order),
-        [this](const std::optional<channels::CallAnswer>& answer) {
+    callEngine(
+        adapter::roleOrderCall(order), [this](const std::optional<channels::CallAnswer>& answer) {
             telemetry::logInfo("orders", "The order was answered.",
                 { { "status", answer ? std::to_string(answer->status) : "none" } });
             checkLater(AfterOrder);
--- a/libs/channels/src/Connection.cpp
+++ b/libs/channels/src/Connection.cpp
@@ -37,8 +37,8 @@
                     self->fail(ConnectionEnd::ConnectFailed);
             });
             const Tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
-            m_socket.async_connect(endpoint,
-                [self](const asio::error_code& error) { self->onConnected(error); });
+            m_socket.async_connect(
+                endpoint, [self](const asio::error_code& error) { self->onConnected(error); });
         }
 
         /** Sets what every connection has; errors mean that the peer has gone meanwhile. */
@@ -132,9 +132,8 @@
         {
             m_isReading = true;
             m_socket.async_read_some(asio::buffer(m_input),
-                [self = shared()](const asio::error_code& error, size_t size) {
-                    self->onRead(error, size);
-                });
+                [self = shared()](
+                    const asio::error_code& error, size_t size) { self->onRead(error, size); });
         }
 
         void onRead(const asio::error_code& error, size_t size)
@@ -158,9 +157,8 @@
         {
             m_writing.swap(m_queued);
             asio::async_write(m_socket, asio::buffer(m_writing),
-                [self = shared()](const asio::error_code& error, size_t size) {
-                    self->onWritten(error, size);
-                });
+                [self = shared()](
+                    const asio::error_code& error, size_t size) { self->onWritten(error, size); });
         }
 
         void onWritten(const asio::error_code& error, size_t size)
--- a/libs/channels/src/ConnectionPool.cpp
+++ b/libs/channels/src/ConnectionPool.cpp
@@ -61,8 +61,8 @@
     class PooledExchange final : public Exchange,
                                  public std::enable_shared_from_this<PooledExchange> {
     public:
-        PooledExchange(std::shared_ptr<ConnectionPool::Implementation> pool, PeerKey peer,
-            Handlers handlers)
+        PooledExchange(
+            std::shared_ptr<ConnectionPool::Implementation> pool, PeerKey peer, Handlers handlers)
             : m_pool(std::move(pool))
             , m_peer(std::move(peer))
             , m_handlers(std::move(handlers))
@@ -179,8 +179,8 @@
             if (isReusable && m_isKeptAlive && m_pooled->connection->unsentBytes() == 0) {
                 m_pooled->idleLifetime = m_pool->options.idleLifetime;
                 if (m_lifetime) {
-                    const Milliseconds stated(
-                        static_cast<int64_t>(LifetimeMargin * static_cast<double>(m_lifetime->count())));
+                    const Milliseconds stated(static_cast<int64_t>(
+                        LifetimeMargin * static_cast<double>(m_lifetime->count())));
                     m_pooled->idleLifetime = std::min(m_pooled->idleLifetime, stated);
                 }
                 m_pool->keep(m_peer, std::exchange(m_pooled, nullptr));
@@ -211,8 +211,7 @@
 
 } // namespace
 
-PooledPointer ConnectionPool::Implementation::takeIdle(
-    const PeerKey& peer, Milliseconds oldestIdle)
+PooledPointer ConnectionPool::Implementation::takeIdle(const PeerKey& peer, Milliseconds oldestIdle)
 {
     const auto found = idle.find(peer);
     if (found == idle.end())
@@ -283,8 +282,8 @@
 
 ConnectionPool::~ConnectionPool() = default;
 
-ExchangePointer ConnectionPool::start(const PeerKey& peer, std::string request,
-    Milliseconds oldestIdle, Exchange::Handlers handlers)
+ExchangePointer ConnectionPool::start(
+    const PeerKey& peer, std::string request, Milliseconds oldestIdle, Exchange::Handlers handlers)
 {
     const std::shared_ptr<PooledExchange> exchange
         = std::make_shared<PooledExchange>(m_implementation, peer, std::move(handlers));
@@ -292,8 +291,8 @@
     const bool isReused = pooled != nullptr;
     if (!isReused) {
         pooled = std::make_shared<PooledConnection>();
-        pooled->connection
-            = connect(m_implementation->loop, peer.address, m_implementation->options.connectTimeout);
+        pooled->connection = connect(
+            m_implementation->loop, peer.address, m_implementation->options.connectTimeout);
         m_implementation->made += 1;
     }
     exchange->begin(std::move(pooled), std::move(request), isReused);
--- a/libs/channels/src/PageServer.cpp
+++ b/libs/channels/src/PageServer.cpp
@@ -60,9 +60,8 @@
 struct PageServer::Implementation {
     Implementation(EventLoop& loop, const fleet::Address& address, Handler given)
         : handler(std::move(given))
-        , listener(loop, address, [this](ConnectionPointer connection) {
-            accept(std::move(connection));
-        })
+        , listener(loop, address,
+              [this](ConnectionPointer connection) { accept(std::move(connection)); })
     {
     }
 
--- a/libs/channels/tests/ChannelTests.cpp
+++ b/libs/channels/tests/ChannelTests.cpp
@@ -189,8 +189,8 @@
 Test(exchanges, cut_short_are_not_complete)
 {
     for (const std::string_view answer : { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
-             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", "garbage\r\n\r\n",
-             "" }) {
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+             "garbage\r\n\r\n", "" }) {
         RawServer server;
         std::jthread peer([&] {
             const int connection = server.acceptOne();
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -158,11 +158,11 @@
     };
 
     /** A prompt was sent to an engine, which will have its parts once it has read them. */
-    void noteSent(const TargetId& engine, uint64_t capacityTokens,
-        std::span<const fleet::PromptPart> parts);
+    void noteSent(
+        const TargetId& engine, uint64_t capacityTokens, std::span<const fleet::PromptPart> parts);
     /** An engine has read or fetched the parts of a prompt. */
-    void noteRead(const TargetId& engine, uint64_t capacityTokens,
-        std::span<const fleet::PromptPart> parts);
+    void noteRead(
+        const TargetId& engine, uint64_t capacityTokens, std::span<const fleet::PromptPart> parts);
     /** The engine did not read the prompt that was sent. */
     void noteNotRead(const TargetId& engine, std::span<const fleet::PromptPart> parts);
     /** The engine is gone or has started again and holds nothing. */
@@ -258,7 +258,8 @@
     void noteRequest(const PoolId& pool, SteadyTime now);
     /**
      * @param sends that the retry makes.
-     * @return false when the allowance of that pool does not cover them; the retry must not be made.
+     * @return false when the allowance of that pool does not cover them; the retry must not be
+     * made.
      */
     bool trySpend(const PoolId& pool, uint32_t sends, SteadyTime now);
 
--- a/libs/dispatch/src/CacheLedger.cpp
+++ b/libs/dispatch/src/CacheLedger.cpp
@@ -2,14 +2,14 @@
 
 namespace citronspoke::dispatch {
 
-void CacheLedger::noteSent(const TargetId& engine, uint64_t capacityTokens,
-    std::span<const fleet::PromptPart> parts)
+void CacheLedger::noteSent(
+    const TargetId& engine, uint64_t capacityTokens, std::span<const fleet::PromptPart> parts)
 {
     note(engine, capacityTokens, parts, false);
 }
 
-void CacheLedger::noteRead(const TargetId& engine, uint64_t capacityTokens,
-    std::span<const fleet::PromptPart> parts)
+void CacheLedger::noteRead(
+    const TargetId& engine, uint64_t capacityTokens, std::span<const fleet::PromptPart> parts)
 {
     note(engine, capacityTokens, parts, true);
 }
--- a/libs/dispatch/src/PromptPlacement.cpp
+++ b/libs/dispatch/src/PromptPlacement.cpp
@@ -162,8 +162,8 @@
     for (TargetState* maker : makers) {
         if (tried.contains(maker->entry.id))
             continue;
-        const std::tuple<bool, uint64_t, bool> rank(maker->avoidUntil > now,
-            maker->load().cacheTokens, maker->entry.zone != zone);
+        const std::tuple<bool, uint64_t, bool> rank(
+            maker->avoidUntil > now, maker->load().cacheTokens, maker->entry.zone != zone);
         if (!best || rank < bestRank) {
             best = maker;
             bestRank = rank;
--- a/libs/dispatch/src/RolePlan.cpp
+++ b/libs/dispatch/src/RolePlan.cpp
@@ -48,8 +48,7 @@
 {
     if (!engine.role || engine.isLeaving)
         return std::nullopt;
-    const EngineRole wanted
-        = makers.contains(engine.id) ? EngineRole::Decode : EngineRole::Prefill;
+    const EngineRole wanted = makers.contains(engine.id) ? EngineRole::Decode : EngineRole::Prefill;
     if (wanted == *engine.role)
         return std::nullopt;
     return wanted;
--- a/libs/dispatch/tests/RolePlanTests.cpp
+++ b/libs/dispatch/tests/RolePlanTests.cpp
@@ -37,8 +37,8 @@
 {
     std::vector<fleet::TargetEntry> engines;
     for (int index = 0; index < 12; ++index)
-        engines.push_back(engine(std::string(1, static_cast<char>('a' + index)), EngineRole::Decode, 1,
-            index < 6 ? "zone-a" : "zone-b"));
+        engines.push_back(engine(std::string(1, static_cast<char>('a' + index)), EngineRole::Decode,
+            1, index < 6 ? "zone-a" : "zone-b"));
     const std::set<TargetId> makers = planMakers({}, engines);
     cr_assert_eq(makers.size(), 2U);
     cr_assert(makers.contains(TargetId("a")));
--- a/libs/dispatch/tests/TargetDirectoryTests.cpp
+++ b/libs/dispatch/tests/TargetDirectoryTests.cpp
@@ -101,7 +101,7 @@
     directory.noteResult(TargetId("b"), AttemptResult::Unreachable, Start);
     cr_assert(chooseTarget(states, {}, ZoneId(), 0, Start)->entry.id == TargetId("a"));
     // With no other target left, the failing one is better than none.
-    cr_assert(chooseTarget(states, { TargetId("a") }, ZoneId(), 0, Start)->entry.id
-        == TargetId("b"));
+    cr_assert(
+        chooseTarget(states, { TargetId("a") }, ZoneId(), 0, Start)->entry.id == TargetId("b"));
     cr_assert_null(chooseTarget(states, { TargetId("a"), TargetId("b") }, ZoneId(), 0, Start));
 }
--- a/libs/http1/src/Headers.cpp
+++ b/libs/http1/src/Headers.cpp
@@ -63,8 +63,8 @@
 
 void Headers::remove(std::string_view name)
 {
-    std::erase_if(m_entries,
-        [name](const Header& header) { return equalsIgnoringCase(header.name, name); });
+    std::erase_if(
+        m_entries, [name](const Header& header) { return equalsIgnoringCase(header.name, name); });
 }
 
 std::optional<std::string_view> Headers::find(std::string_view name) const
--- a/libs/http1/tests/Http1Tests.cpp
+++ b/libs/http1/tests/Http1Tests.cpp
@@ -42,8 +42,9 @@
 {
     cr_assert(bodyOf(parseRequest("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"))
         == "abc");
-    cr_assert(bodyOf(parseRequest("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                  "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"))
+    cr_assert(
+        bodyOf(parseRequest("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"))
         == "abc");
 }
 
@@ -94,10 +95,10 @@
 Test(requests, larger_than_the_limits_are_rejected)
 {
     const std::string filler(300, 'x');
-    cr_expect(isRejected("GET /a HTTP/1.1\r\nHost: h\r\nX: " + filler + "\r\n\r\n",
-        ParseFault::HeadTooLarge));
-    cr_expect(isRejected("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n",
-        ParseFault::BodyTooLarge));
+    cr_expect(isRejected(
+        "GET /a HTTP/1.1\r\nHost: h\r\nX: " + filler + "\r\n\r\n", ParseFault::HeadTooLarge));
+    cr_expect(isRejected(
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n", ParseFault::BodyTooLarge));
     cr_expect(isRejected("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n"
             + std::string(65, 'x') + "\r\n",
         ParseFault::BodyTooLarge));
--- a/libs/peers/src/Outbox.cpp
+++ b/libs/peers/src/Outbox.cpp
@@ -39,8 +39,7 @@
 {
     Last& last = m_last[update.sender];
     const bool isNewLife = update.senderStartedAt > last.startedAt;
-    if (!isNewLife
-        && (update.senderStartedAt < last.startedAt || update.number <= last.number))
+    if (!isNewLife && (update.senderStartedAt < last.startedAt || update.number <= last.number))
         return false;
     last = { update.senderStartedAt, update.number };
     return true;
--- a/libs/storefeed/include/storefeed/StoreFeed.h
+++ b/libs/storefeed/include/storefeed/StoreFeed.h
@@ -21,15 +21,15 @@
 };
 
 /**
- * Follows all keys below a prefix: reads the range once, then watches, or reads it repeatedly. While the store cannot be
- * reached, what was read last stays valid and grows old.
+ * Follows all keys below a prefix: reads the range once, then watches, or reads it repeatedly.
+ * While the store cannot be reached, what was read last stays valid and grows old.
  */
 class StoreFeed {
 public:
     struct Handlers {
         /**
-         * The whole range. @param mayReturnUntil until then keys may be missing only since the store
-         * was away; the past when it was not.
+         * The whole range. @param mayReturnUntil until then keys may be missing only since the
+         * store was away; the past when it was not.
          */
         std::function<void(std::span<const adapter::StoreItem>, SteadyTime mayReturnUntil)> onRange;
         std::function<void(const adapter::KeyChange&, SteadyTime mayReturnUntil)> onChange;
--- a/libs/storefeed/src/StoreFeed.cpp
+++ b/libs/storefeed/src/StoreFeed.cpp
@@ -121,8 +121,7 @@
     noteAnswer();
     if (std::holds_alternative<adapter::HistoryLost>(decoded)) {
         telemetry::logWarning("store", "History is gone; reading the range again.",
-            { { "prefix", m_options.prefix },
-                { "revision", std::to_string(m_revision.value()) } });
+            { { "prefix", m_options.prefix }, { "revision", std::to_string(m_revision.value()) } });
         m_hasRange = false;
         readPage({});
         return;
@@ -144,7 +143,8 @@
     if (m_failures > 0 || !m_lastAnswer) {
         telemetry::logInfo("store", "The store answers.",
             { { "prefix", m_options.prefix }, { "failures", std::to_string(m_failures) } });
-        if (m_lastAnswer && now - *m_lastAnswer >= ShortestLapse + std::visit(LongestSilence {}, m_options.mode))
+        if (m_lastAnswer
+            && now - *m_lastAnswer >= ShortestLapse + std::visit(LongestSilence {}, m_options.mode))
             m_returnedAt = now;
     }
     m_failures = 0;
