--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -191,6 +191,7 @@
 /** A whole answer to a small call. */
 struct CallAnswer {
     uint32_t status = 0;
+    http1::Headers headers;
     std::string body;
 };
 /** Runs one small call and collects its answer. */
--- a/libs/channels/src/Call.cpp
+++ b/libs/channels/src/Call.cpp
@@ -36,7 +36,10 @@
     Exchange::Handlers handlers;
     handlers.onHead = [weak](const http1::ResponseHead& head) {
         if (const std::shared_ptr<PendingCall> self = weak.lock())
+        {
             self->answer.status = head.status;
+            self->answer.headers = head.headers;
+        }
     };
     handlers.onBody = [weak](std::string_view bytes) {
         if (const std::shared_ptr<PendingCall> self = weak.lock())
