Announce role changes in the store and keep extra token makers for a while

Change: before an order the sidecar writes the engine's new role to the store; that write's revision is the fencing number. Gateways and other sidecars count the ordered role. A surplus of makers lasts seven seconds before it is ended, a lack two and a half. A target that refuses all is left alone for longer each time. The gateways' own plan is removed. Tests: roles/an_engine_on_its_way..., directory/a_target_that_refuses_all...

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -14,6 +14,8 @@
     constexpr Milliseconds WatchWait { 2000 };
     /** A small part of the time in which leaving targets must get no new work. */
     constexpr Milliseconds GatherPause { 250 };
+    /** A missed order shows itself by refusals of the engine. */
+    constexpr Milliseconds RoleWatchWait { 5000 };
     /** Left for the end of the process before it would be killed. */
     constexpr Milliseconds ExitMargin { 400 };
 
@@ -57,6 +59,11 @@
               [this](const adapter::KeyChange& change, SteadyTime mayReturnUntil) {
                   onTargetChange(change, mayReturnUntil);
               } })
+    , m_roles(loop, m_storePool, addressIn(settings.store),
+          { std::string(storefeed::RolePrefix),
+              storefeed::Watching { RoleWatchWait, Milliseconds(0) } },
+          { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onRoles(items); },
+              [this](const adapter::KeyChange& change, SteadyTime) { onRoleChange(change); } })
     , m_peers(
           m_context, m_storePool, addressIn(settings.store), addressIn(settings.operatorAddress))
     , m_listener(std::make_unique<channels::Listener>(loop, addressIn(settings.callers),
@@ -81,6 +88,7 @@
 {
     m_declarations.start();
     m_targets.start();
+    m_roles.start();
     m_peers.start();
 }
 
@@ -159,6 +167,27 @@
             { "role", entry->role ? std::string(toText(*entry->role)) : "" } });
 }
 
+void Gateway::onRoles(std::span<const adapter::StoreItem> items)
+{
+    m_context.orderedRoles.clear();
+    for (const adapter::StoreItem& item : items)
+        onRoleChange(adapter::KeyWritten { item });
+}
+
+void Gateway::onRoleChange(const adapter::KeyChange& change)
+{
+    const adapter::KeyWritten* written = std::get_if<adapter::KeyWritten>(&change);
+    if (!written)
+        return;
+    const TargetId engine(written->item.key.substr(storefeed::RolePrefix.size()));
+    const std::optional<EngineRole> role = engineRoleFromText(written->item.value);
+    if (!role)
+        return;
+    m_context.orderedRoles[engine] = *role;
+    telemetry::logInfo("targets", "An engine is ordered to a role.",
+        { { "target", engine.text() }, { "role", written->item.value } });
+}
+
 void Gateway::accept(channels::ConnectionPointer connection)
 {
     const std::shared_ptr<std::weak_ptr<CallerConnection>> self
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -20,6 +20,8 @@
     void onTargets(std::span<const adapter::StoreItem> items, SteadyTime mayReturnUntil);
     void onTargetChange(const adapter::KeyChange& change, SteadyTime mayReturnUntil);
     std::optional<fleet::TargetEntry> decodeTarget(const adapter::StoreItem& item) const;
+    void onRoles(std::span<const adapter::StoreItem> items);
+    void onRoleChange(const adapter::KeyChange& change);
     void accept(channels::ConnectionPointer connection);
     channels::PageServer::Page answerReadiness() const;
     void closeIdleConnections();
@@ -30,6 +32,7 @@
     channels::ConnectionPool m_storePool;
     storefeed::StoreFeed m_declarations;
     storefeed::StoreFeed m_targets;
+    storefeed::StoreFeed m_roles;
     PeerGroup m_peers;
     std::unique_ptr<channels::Listener> m_listener;
     channels::PageServer m_readiness;
--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -44,33 +44,15 @@
         ledger.noteRead(engine, pool->engine->cacheTokens, parts);
 }
 
-const std::set<TargetId>& GatewayContext::plannedMakers(const PoolId& pool)
-{
-    PlannedMakers& planned = m_plannedMakers[pool];
-    if (planned.directoryVersion == directory.version())
-        return planned.makers;
-    std::vector<fleet::TargetEntry> engines;
-    for (const auto& [id, state] : directory.targets()) {
-        if (state.entry.pool == pool)
-            engines.push_back(state.entry);
-    }
-    planned.makers = dispatch::planMakers({}, engines);
-    planned.directoryVersion = directory.version();
-    return planned.makers;
-}
-
 std::vector<dispatch::TargetState*> GatewayContext::enginesInRole(
     const PoolId& pool, EngineRole role)
 {
-    std::vector<dispatch::TargetState*> inRole = directory.usable(pool, steadyNow());
-    std::erase_if(
-        inRole, [role](const dispatch::TargetState* state) { return state->entry.role != role; });
-    const std::set<TargetId>& makers = plannedMakers(pool);
-    std::vector<dispatch::TargetState*> staying = inRole;
-    std::erase_if(staying, [&makers](const dispatch::TargetState* state) {
-        return dispatch::plannedChange(makers, state->entry).has_value();
+    std::vector<dispatch::TargetState*> engines = directory.usable(pool, steadyNow());
+    std::erase_if(engines, [this, role](const dispatch::TargetState* state) {
+        return state->entry.role != role
+            || dispatch::withOrderedRole(state->entry, orderedRoles).role != role;
     });
-    return staying.empty() ? inRole : staying;
+    return engines;
 }
 
 double GatewayContext::draw() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -21,6 +21,7 @@
     dispatch::TargetDirectory directory;
     dispatch::CacheLedger ledger;
     std::map<PoolId, dispatch::ReadSpeed> readSpeeds;
+    dispatch::OrderedRoles orderedRoles;
     dispatch::RetryAllowance retries;
     /** None until the operators' declaration is known. */
     std::shared_ptr<const dispatch::RouteTable> routes;
@@ -37,8 +38,8 @@
     void noteParts(const TargetId& engine, std::span<const fleet::PromptPart> parts);
 
     /**
-     * @return the engines of a pool that are in a role and should stay in it; engines that are
-     *         about to change refuse work for seconds.
+     * @return the engines of a pool that are in a role and were not ordered to leave it; engines
+     *         that change refuse work for seconds.
      */
     std::vector<dispatch::TargetState*> enginesInRole(const PoolId& pool, EngineRole role);
 
@@ -48,13 +49,6 @@
 private:
     void tellLoad(const TargetId& target);
 
-    struct PlannedMakers {
-        uint64_t directoryVersion = 0;
-        std::set<TargetId> makers;
-    };
-    const std::set<TargetId>& plannedMakers(const PoolId& pool);
-
-    std::map<PoolId, PlannedMakers> m_plannedMakers;
     std::mt19937_64 m_random;
 };
 
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-    constexpr std::string_view PeerPrefix = "citronspoke/gateways/";
     /** A gateway that is gone is forgotten after this. */
     constexpr Milliseconds LeaseTime { 6000 };
     constexpr Milliseconds RenewInterval { 2000 };
@@ -29,7 +28,8 @@
     , m_ownAddress(ownAddress)
     , m_id(context.settings.id)
     , m_startedAt(unixNow())
-    , m_feed(context.loop, storePool, store, { std::string(PeerPrefix), storefeed::Polling {} },
+    , m_feed(context.loop, storePool, store,
+          { std::string(storefeed::GatewayPrefix), storefeed::Polling {} },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onPeers(items); }, {} })
     , m_port(context.loop, ownAddress, [this](std::string_view datagram) { onDatagram(datagram); })
     , m_renewTimer(context.loop)
@@ -75,8 +75,8 @@
 
 void PeerGroup::writeAnnouncement(adapter::StoreLease lease)
 {
-    const adapter::StoreWrite write { std::string(PeerPrefix) + m_id.text(), m_ownAddress.text(),
-        lease, std::nullopt };
+    const adapter::StoreWrite write { std::string(storefeed::GatewayPrefix) + m_id.text(),
+        m_ownAddress.text(), lease, std::nullopt };
     callStore(adapter::writeCall(std::span(&write, 1)),
         [this, lease](const std::optional<channels::CallAnswer>& answer) {
             if (answer
@@ -124,7 +124,7 @@
 {
     const std::optional<fleet::Address> address = fleet::parseAddress(item.value);
     if (address)
-        m_peers[EntryId(item.key.substr(PeerPrefix.size()))] = *address;
+        m_peers[EntryId(item.key.substr(storefeed::GatewayPrefix.size()))] = *address;
 }
 
 void PeerGroup::updateCount()
--- a/apps/sidecar/RoleKeeper.cpp
+++ b/apps/sidecar/RoleKeeper.cpp
@@ -9,13 +9,14 @@
     constexpr Milliseconds CheckInterval { 500 };
     constexpr Milliseconds CallLimit { 1000 };
     /** A plan must hold this long before an order, so that a passing loss moves no engine. */
-    constexpr Milliseconds SteadyPlan { 2500 };
+    constexpr Milliseconds SteadyLack { 2500 };
+    /** Engines that start as makers while others are replaced are often needed soon. */
+    constexpr Milliseconds SteadySurplus { 7000 };
     /** Right after the start there is no work in flight, and entries only have to settle. */
     constexpr Milliseconds SteadyPlanAtStart { 700 };
     constexpr Milliseconds StartPeriod { 8000 };
     /** An order without an answer may still be carried out; the engine is asked after this. */
     constexpr Milliseconds AfterOrder { 4000 };
-    constexpr std::string_view HolderPrefix = "citronspoke/holders/";
 
     fleet::Address addressIn(const std::string& text)
     {
@@ -35,6 +36,8 @@
     , m_feed(loop, m_pool, m_store, { std::string(adapter::TargetPrefix), storefeed::Polling {} },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onTargets(items); },
               {} })
+    , m_roles(loop, m_pool, m_store, { std::string(storefeed::RolePrefix), storefeed::Polling {} },
+          { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onRoles(items); }, {} })
     , m_timer(loop)
     , m_startedAt(steadyNow())
 {
@@ -43,6 +46,7 @@
 void RoleKeeper::start()
 {
     m_feed.start();
+    m_roles.start();
     checkLater(CheckInterval);
 }
 
@@ -82,8 +86,10 @@
         return std::nullopt;
     std::vector<fleet::TargetEntry> engines;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.pool == own->pool)
-            engines.push_back(entry);
+        if (entry.pool != own->pool)
+            continue;
+        // This engine's own order may have been lost, so its present role counts.
+        engines.push_back(id == own->id ? entry : dispatch::withOrderedRole(entry, m_ordered));
     }
     return dispatch::plannedChange(dispatch::planMakers(m_plan, engines), *own);
 }
@@ -97,41 +103,71 @@
         m_wantedSince = now;
     }
     const bool isAtStart = now - m_startedAt < StartPeriod;
-    const Milliseconds steady = isAtStart ? SteadyPlanAtStart : SteadyPlan;
-    if (!wanted || now - m_wantedSince < steady) {
-        checkLater(CheckInterval);
+    Milliseconds steady = wanted == EngineRole::Decode ? SteadyLack : SteadySurplus;
+    if (isAtStart)
+        steady = SteadyPlanAtStart;
+    const fleet::TargetEntry* own = ownEntry();
+    if (wanted && now - m_wantedSince >= steady) {
+        readReport(*wanted);
         return;
     }
-    if (!m_fence)
-        acquireFence();
-    else
-        readReport(*wanted);
+    const auto ordered = own ? m_ordered.find(own->id) : m_ordered.end();
+    if (!wanted && ordered != m_ordered.end() && ordered->second != own->role
+        && now - m_wantedSince >= AfterOrder) {
+        withdraw(*own->role);
+        return;
+    }
+    checkLater(CheckInterval);
+}
+
+void RoleKeeper::onRoles(std::span<const adapter::StoreItem> items)
+{
+    m_ordered.clear();
+    for (const adapter::StoreItem& item : items) {
+        if (const std::optional<EngineRole> role = engineRoleFromText(item.value))
+            m_ordered[TargetId(item.key.substr(storefeed::RolePrefix.size()))] = *role;
+    }
 }
 
-void RoleKeeper::acquireFence()
+void RoleKeeper::announce(EngineRole role, std::function<void(FencingNumber)> next)
 {
-    // The store's revision grows with each write, so it never repeats over restarts.
-    const adapter::StoreWrite write { std::string(HolderPrefix) + m_settings.id, m_settings.id,
-        adapter::StoreLease(0), std::nullopt };
+    const fleet::TargetEntry* own = ownEntry();
+    if (!own) {
+        checkLater(CheckInterval);
+        return;
+    }
+    const adapter::StoreWrite write { std::string(storefeed::RolePrefix) + own->id.text(),
+        std::string(toText(role)), adapter::StoreLease(0), std::nullopt };
     m_call = channels::call(m_loop, m_pool, { m_store, {} },
         adapter::composeCall(adapter::writeCall(std::span(&write, 1)), m_store), CallLimit,
-        [this](const std::optional<channels::CallAnswer>& answer) {
+        [this, next = std::move(next)](const std::optional<channels::CallAnswer>& answer) {
             const std::shared_ptr<void> finished = std::exchange(m_call, nullptr);
             try {
                 if (answer) {
                     const adapter::WriteAnswer decoded
                         = adapter::decodeWrite(answer->status, answer->body);
-                    if (const adapter::WriteDone* done = std::get_if<adapter::WriteDone>(&decoded))
-                        m_fence = FencingNumber(done->revision.value());
+                    if (const adapter::WriteDone* done
+                        = std::get_if<adapter::WriteDone>(&decoded)) {
+                        // The store's revision grows with each write, also over restarts.
+                        next(FencingNumber(done->revision.value()));
+                        return;
+                    }
                 }
             } catch (const Error& error) {
                 telemetry::logWarning(
-                    "orders", "No fencing number.", { { "cause", error.describe() } });
+                    "orders", "The role was not announced.", { { "cause", error.describe() } });
             }
-            checkLater(m_fence ? Milliseconds(0) : CheckInterval);
+            checkLater(CheckInterval);
         });
 }
 
+void RoleKeeper::withdraw(EngineRole present)
+{
+    telemetry::logInfo(
+        "orders", "Withdrawing an order.", { { "role", std::string(toText(present)) } });
+    announce(present, [this](FencingNumber) { checkLater(CheckInterval); });
+}
+
 void RoleKeeper::callEngine(const adapter::Call& call, channels::CallHandler handler)
 {
     m_call = channels::call(m_loop, m_pool, { m_engine, {} }, adapter::composeCall(call, m_engine),
@@ -150,7 +186,9 @@
                 if (answer && answer->status == 200) {
                     const fleet::EngineReport report = adapter::decodeReport(answer->body);
                     if (report.role && *report.role != wanted && !report.isChanging) {
-                        order(wanted, report);
+                        announce(wanted, [this, wanted, report](FencingNumber fence) {
+                            order(wanted, report, fence);
+                        });
                         return;
                     }
                 }
@@ -162,17 +200,17 @@
         });
 }
 
-void RoleKeeper::order(EngineRole wanted, const fleet::EngineReport& report)
+void RoleKeeper::order(EngineRole wanted, const fleet::EngineReport& report, FencingNumber fence)
 {
     const fleet::TargetEntry* own = ownEntry();
     if (!own) {
         checkLater(CheckInterval);
         return;
     }
-    const adapter::RoleOrder order { wanted, m_settings.id, *m_fence, report.orders, own->id };
+    const adapter::RoleOrder order { wanted, m_settings.id, fence, report.orders, own->id };
     telemetry::logInfo("orders", "Ordering a role.",
         { { "target", own->id.text() }, { "role", std::string(toText(wanted)) },
-            { "fence", std::to_string(m_fence->value()) },
+            { "fence", std::to_string(fence.value()) },
             { "orders_before", std::to_string(report.orders.value()) },
             { "running", std::to_string(report.running) } });
     callEngine(
--- a/apps/sidecar/RoleKeeper.h
+++ b/apps/sidecar/RoleKeeper.h
@@ -22,9 +22,12 @@
     /** @return the role to order; none when the engine should stay as it is. */
     std::optional<EngineRole> wantedRole() const;
     const fleet::TargetEntry* ownEntry() const;
-    void acquireFence();
+    void onRoles(std::span<const adapter::StoreItem> items);
+    /** Writes the role that the engine is about to be ordered to; the write gives the fence. */
+    void announce(EngineRole role, std::function<void(FencingNumber)> next);
     void readReport(EngineRole wanted);
-    void order(EngineRole wanted, const fleet::EngineReport& report);
+    void order(EngineRole wanted, const fleet::EngineReport& report, FencingNumber fence);
+    void withdraw(EngineRole present);
     void checkLater(Milliseconds delay);
     void callEngine(const adapter::Call& call, channels::CallHandler handler);
 
@@ -34,11 +37,12 @@
     fleet::Address m_store;
     channels::ConnectionPool m_pool;
     storefeed::StoreFeed m_feed;
+    storefeed::StoreFeed m_roles;
+    dispatch::OrderedRoles m_ordered;
     std::map<TargetId, fleet::TargetEntry> m_entries;
     dispatch::RolePlan m_plan;
     channels::Timer m_timer;
     std::shared_ptr<void> m_call;
-    std::optional<FencingNumber> m_fence;
     std::optional<EngineRole> m_wanted;
     SteadyTime m_wantedSince;
     SteadyTime m_startedAt;
--- a/libs/channels/src/Call.cpp
+++ b/libs/channels/src/Call.cpp
@@ -35,8 +35,7 @@
     const std::weak_ptr<PendingCall> weak = pending;
     Exchange::Handlers handlers;
     handlers.onHead = [weak](const http1::ResponseHead& head) {
-        if (const std::shared_ptr<PendingCall> self = weak.lock())
-        {
+        if (const std::shared_ptr<PendingCall> self = weak.lock()) {
             self->answer.status = head.status;
             self->answer.headers = head.headers;
         }
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -83,6 +83,7 @@
     /** Work of the other entries, as they last said. */
     std::map<EntryId, PeerLoad> peers;
     uint32_t failuresInRow = 0;
+    uint32_t refusalsInRow = 0;
     /** No work before this time, unless there is no other target. */
     SteadyTime avoidUntil {};
     /** No work at all before this time: the entry is known to be old. */
@@ -123,8 +124,6 @@
     /** @return null when no such target is known. */
     TargetState* find(const TargetId& id);
     size_t size() const noexcept { return m_targets.size(); }
-    /** @return a number that grows whenever an entry comes, changes or goes. */
-    uint64_t version() const noexcept { return m_version; }
     const std::map<TargetId, TargetState>& targets() const noexcept { return m_targets; }
 
     void noteStarted(const TargetId& id, const Load& load);
@@ -133,7 +132,6 @@
 
 private:
     std::map<TargetId, TargetState> m_targets;
-    uint64_t m_version = 0;
 };
 
 /**
@@ -287,6 +285,12 @@
     uint32_t makers(size_t engines) const;
 };
 
+/** Roles that engines were ordered to take; they may still be on their way. */
+using OrderedRoles = std::map<TargetId, EngineRole>;
+
+/** @return the engine with the role that it has or was ordered to take. */
+fleet::TargetEntry withOrderedRole(const fleet::TargetEntry& engine, const OrderedRoles& ordered);
+
 /**
  * Chooses the engines that should make tokens; the others read prompts. All processes that know the
  * same engines choose the same ones.
--- a/libs/dispatch/src/RolePlan.cpp
+++ b/libs/dispatch/src/RolePlan.cpp
@@ -15,6 +15,15 @@
         static_cast<uint32_t>(wanted), fewestMakers, static_cast<uint32_t>(engines - 1));
 }
 
+fleet::TargetEntry withOrderedRole(const fleet::TargetEntry& engine, const OrderedRoles& ordered)
+{
+    fleet::TargetEntry changed = engine;
+    const auto found = ordered.find(engine.id);
+    if (engine.role && found != ordered.end())
+        changed.role = found->second;
+    return changed;
+}
+
 std::set<TargetId> planMakers(const RolePlan& plan, std::span<const fleet::TargetEntry> engines)
 {
     std::vector<const fleet::TargetEntry*> ranked;
--- a/libs/dispatch/src/TargetDirectory.cpp
+++ b/libs/dispatch/src/TargetDirectory.cpp
@@ -61,10 +61,8 @@
         && state.entry.address == entry.address;
     if (!isSameLife)
         state = TargetState {};
-    if (state.entry != entry) {
-        m_version += 1;
+    if (state.entry != entry)
         state.replacedUntil = {};
-    }
     state.entry = entry;
     state.mayReturnUntil.reset();
     return !isSameLife;
@@ -75,7 +73,6 @@
     const auto found = m_targets.find(id);
     if (found == m_targets.end())
         return;
-    m_version += 1;
     if (mayReturnUntil <= now)
         m_targets.erase(found);
     else
@@ -101,7 +98,7 @@
 
 void TargetDirectory::expire(SteadyTime now)
 {
-    m_version += std::erase_if(m_targets, [now](const auto& item) {
+    std::erase_if(m_targets, [now](const auto& item) {
         const TargetState& state = item.second;
         return state.mayReturnUntil && now >= *state.mayReturnUntil;
     });
@@ -169,11 +166,13 @@
     switch (result) {
     case AttemptResult::Served:
         state->failuresInRow = 0;
+        state->refusalsInRow = 0;
         state->avoidUntil = {};
         return;
     case AttemptResult::Refused:
-        // A full target is left alone for a moment; it is not ill.
-        state->avoidUntil = now + FirstAvoidance;
+        // A full target is left alone for a moment, one that refuses all for longer.
+        state->refusalsInRow += 1;
+        state->avoidUntil = now + avoidanceAfter(state->refusalsInRow - 1);
         return;
     case AttemptResult::Replaced:
         state->replacedUntil = now + OldEntryLifetime;
--- a/libs/dispatch/tests/RolePlanTests.cpp
+++ b/libs/dispatch/tests/RolePlanTests.cpp
@@ -55,3 +55,16 @@
     cr_assert_not(plannedChange(makers, engines.front()).has_value());
     cr_assert(planMakers({}, {}).empty());
 }
+
+Test(roles, an_engine_on_its_way_to_another_role_counts_for_the_new_one)
+{
+    const OrderedRoles ordered { { TargetId("b"), EngineRole::Prefill } };
+    const std::vector<fleet::TargetEntry> engines {
+        withOrderedRole(engine("a", EngineRole::Prefill, 1), ordered),
+        withOrderedRole(engine("b", EngineRole::Decode, 2), ordered),
+        withOrderedRole(engine("c", EngineRole::Decode, 3), ordered),
+    };
+    // The order to b is under way, so that c is the maker to keep.
+    cr_assert(planMakers({}, engines) == std::set<TargetId> { TargetId("c") });
+    cr_assert_not(plannedChange(planMakers({}, engines), engines[2]).has_value());
+}
--- a/libs/dispatch/tests/TargetDirectoryTests.cpp
+++ b/libs/dispatch/tests/TargetDirectoryTests.cpp
@@ -105,3 +105,18 @@
         chooseTarget(states, { TargetId("a") }, ZoneId(), 0, Start)->entry.id == TargetId("b"));
     cr_assert_null(chooseTarget(states, { TargetId("a"), TargetId("b") }, ZoneId(), 0, Start));
 }
+
+Test(directory, a_target_that_refuses_all_is_left_alone_for_longer_each_time)
+{
+    TargetDirectory directory;
+    directory.put(target("a"));
+    Milliseconds before { 0 };
+    for (int refusal = 0; refusal < 3; ++refusal) {
+        directory.noteResult(TargetId("a"), AttemptResult::Refused, Start);
+        const SteadyTime::duration avoided = directory.find(TargetId("a"))->avoidUntil - Start;
+        cr_expect(avoided > before);
+        before = std::chrono::duration_cast<Milliseconds>(avoided);
+    }
+    directory.noteResult(TargetId("a"), AttemptResult::Served, Start);
+    cr_assert(directory.find(TargetId("a"))->avoidUntil == SteadyTime {});
+}
--- a/libs/storefeed/include/storefeed/StoreFeed.h
+++ b/libs/storefeed/include/storefeed/StoreFeed.h
@@ -6,6 +6,11 @@
 /** Follows keys of the platform's store. */
 namespace citronspoke::storefeed {
 
+/** Where gateways announce themselves in the store, each under its id. */
+inline constexpr std::string_view GatewayPrefix = "citronspoke/gateways/";
+/** Where the sidecars write which role their engine was ordered to take, under the engine's id. */
+inline constexpr std::string_view RolePrefix = "citronspoke/roles/";
+
 /** Changes are reported as they come; each answer costs a call. */
 struct Watching {
     /** How long the store holds back a watch that has nothing to say. */
