Reload settings on SIGHUP instead of ending

Change: the gateway takes over stop grace and retry limits; a wrong file is logged and what was in force stays. The sidecar logs that it has nothing to reload.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -75,6 +75,7 @@
               return channels::PageServer::Page { 200, "text/plain", telemetry::metricsText() };
           })
     , m_stopTimer(loop)
+    , m_stopGrace(settings.stopGrace)
 {
     m_context.peers = &m_peers;
     m_context.declarationAge = [this] {
@@ -208,15 +209,30 @@
     return page;
 }
 
+void Gateway::reload(const settings::GatewaySettings& settings)
+{
+    m_stopGrace = settings.stopGrace;
+    m_context.retries.updateLimits(
+        { settings.retries.share, settings.retries.fixedPart, settings.retries.window });
+    const settings::GatewaySettings& before = m_context.settings;
+    const bool needsRestart = settings.callers != before.callers
+        || settings.readiness != before.readiness || settings.store != before.store
+        || settings.operatorAddress != before.operatorAddress || settings.zone != before.zone;
+    telemetry::logInfo("gateway", "Reloaded the settings.",
+        { { "stop_grace_ms", std::to_string(m_stopGrace.count()) },
+            { "retry_share", std::to_string(settings.retries.share) },
+            { "needs_restart", needsRestart ? "yes" : "no" } });
+}
+
 void Gateway::beginStop()
 {
     if (m_context.isStopping)
         return;
     m_context.isStopping = true;
-    m_stopAt = steadyNow() + m_context.settings.stopGrace - ExitMargin;
+    m_stopAt = steadyNow() + m_stopGrace - ExitMargin;
     telemetry::logInfo("gateway", "Stopping.",
         { { "connections", std::to_string(m_connections.size()) },
-            { "grace_ms", std::to_string(m_context.settings.stopGrace.count()) } });
+            { "grace_ms", std::to_string(m_stopGrace.count()) } });
     m_stopTimer.arm(BalancerNotice, [this] {
         m_listener->close();
         closeIdleConnections();
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -12,6 +12,8 @@
     Gateway(channels::EventLoop& loop, const settings::GatewaySettings& settings);
 
     void start();
+    /** Takes over what may change while the process runs; addresses and the zone may not. */
+    void reload(const settings::GatewaySettings& settings);
     /** Serves what has come, takes nothing new after a while, then stops the loop. */
     void beginStop();
 
@@ -39,6 +41,7 @@
     channels::PageServer m_operator;
     std::set<std::shared_ptr<CallerConnection>> m_connections;
     channels::Timer m_stopTimer;
+    Milliseconds m_stopGrace;
     SteadyTime m_stopAt;
 };
 
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -15,12 +15,30 @@
 
 using namespace citronspoke;
 
-void serve(const settings::GatewaySettings& settings)
+// A file that is wrong must not end a gateway that serves; what it had stays in force.
+void reload(gateway::Gateway& gateway, const std::string& path)
 {
+    try {
+        gateway.reload(settings::parseGatewaySettings(settings::readFile(path)));
+    } catch (const Error& error) {
+        telemetry::logError(
+            "gateway", "Kept the settings; the file is wrong.", { { "cause", error.describe() } });
+    }
+}
+
+void serve(const std::string& path)
+{
+    const settings::GatewaySettings settings
+        = settings::parseGatewaySettings(settings::readFile(path));
     channels::EventLoop loop;
     gateway::Gateway gateway(loop, settings);
-    constexpr std::array<int, 2> StopSignals { SIGTERM, SIGINT };
-    loop.onSignals(StopSignals, [&gateway](int) { gateway.beginStop(); });
+    constexpr std::array<int, 3> Signals { SIGTERM, SIGINT, SIGHUP };
+    loop.onSignals(Signals, [&gateway, &path](int signal) {
+        if (signal == SIGHUP)
+            reload(gateway, path);
+        else
+            gateway.beginStop();
+    });
     gateway.start();
     telemetry::logInfo("gateway", "Started.",
         { { "id", settings.id }, { "callers", settings.callers }, { "store", settings.store } });
@@ -39,8 +57,7 @@
     telemetry::configureLogging(absl::GetFlag(FLAGS_verbose));
     int status = 0;
     try {
-        const std::string path = settings::settingsPath(absl::GetFlag(FLAGS_settings));
-        serve(settings::parseGatewaySettings(settings::readFile(path)));
+        serve(settings::settingsPath(absl::GetFlag(FLAGS_settings)));
     } catch (const Error& error) {
         telemetry::logError("gateway", "Ended by a failure.", { { "cause", error.describe() } });
         std::cerr << "citronspoke-gateway: " << error.describe() << '\n';
--- a/apps/sidecar/main.cpp
+++ b/apps/sidecar/main.cpp
@@ -19,8 +19,13 @@
 {
     channels::EventLoop loop;
     sidecar::RoleKeeper keeper(loop, settings);
-    constexpr std::array<int, 2> StopSignals { SIGTERM, SIGINT };
-    loop.onSignals(StopSignals, [&loop](int) { loop.stop(); });
+    constexpr std::array<int, 3> Signals { SIGTERM, SIGINT, SIGHUP };
+    loop.onSignals(Signals, [&loop](int signal) {
+        if (signal == SIGHUP)
+            telemetry::logInfo("sidecar", "Nothing to reload; addresses need a restart.");
+        else
+            loop.stop();
+    });
     keeper.start();
     telemetry::logInfo("sidecar", "Started.",
         { { "id", settings.id }, { "engine", settings.engine }, { "store", settings.store } });
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -253,6 +253,7 @@
     /** @param start of this process; a process before it may have spent the fixed part just now. */
     RetryAllowance(const Limits& limits, SteadyTime start);
     void updateEntries(uint32_t entries);
+    void updateLimits(const Limits& limits);
     void noteRequest(const PoolId& pool, SteadyTime now);
     /**
      * @param sends that the retry makes.
--- a/libs/dispatch/src/RetryAllowance.cpp
+++ b/libs/dispatch/src/RetryAllowance.cpp
@@ -30,6 +30,8 @@
 
 void RetryAllowance::updateEntries(uint32_t entries) { m_entries = entries; }
 
+void RetryAllowance::updateLimits(const Limits& limits) { m_limits = limits; }
+
 void RetryAllowance::noteRequest(const PoolId& pool, SteadyTime now)
 {
     History& history = m_pools[pool];
