Test the gateway against fakes, count each request once, split the run of a request

Cause: reading the logs of the new tests: a broken stream was logged and counted twice, as left by its caller and as broken, since closing the connection reported back. Change: a request is over before its connection is closed. RequestRun is in two files, by what goes out and what comes back. A fake store in the platform's form and fake targets stand in fakes/fleet. Tests: 29 of the gateway over real connections (at most once, resumed and broken streams, callers that leave, odd entries, lost history, a store that refuses, stop), and of the adapter, peers' updates, routes and settings. streams/that_may_not_be_resumed_break_visibly shows the double count failing before.

--- /dev/null
+++ b/apps/gateway/RequestRunAnswers.cpp
@@ -0,0 +1,201 @@
+// What comes back to a request: heads, bodies and ends of attempts, and what follows from them.
+#include "RequestRun.h"
+
+#include "Durations.h"
+#include "PeerGroup.h"
+#include "telemetry/Telemetry.h"
+
+namespace citronspoke::gateway {
+
+namespace {
+
+    bool isSuccess(uint32_t status) { return status >= 200 && status < 300; }
+
+} // namespace
+
+bool RequestRun::isOurAnswer(const http1::ResponseHead& head) const
+{
+    const RequestId& attempt = adapter::decodeAnswer(head).attempt;
+    return attempt.empty() || attempt == m_terms.attempt;
+}
+
+void RequestRun::onHead(const http1::ResponseHead& head)
+{
+    m_attempt->head = head;
+    m_attempt->terms = adapter::decodeAnswer(head);
+    if (m_attempt->step == Step::ReadPrompt || m_attempt->terms.isNotExecuted)
+        return;
+    if (!isSuccess(head.status) || !m_attempt->terms.isSigned)
+        return;
+    if (m_route->repeatability != fleet::Repeatability::Stream)
+        return;
+    m_attempt->isRelayed = true;
+    telemetry::logInfo("request", "Answer begins.",
+        { { "id", m_terms.attempt.text() }, { "target", m_attempt->target.id.text() },
+            { "took_ms", text(since(m_attempt->startedAt)) }, { "age_ms", text(age()) } });
+    if (m_hasBegunAnswer)
+        return;
+    m_hasBegunAnswer = true;
+    m_writer->beginBody(head.status, head.reason, adapter::callerHeaders(head));
+}
+
+void RequestRun::onBody(std::string_view bytes)
+{
+    if (m_attempt->isRelayed)
+        relayEvents(bytes);
+    else
+        m_attempt->body.append(bytes);
+}
+
+void RequestRun::relayEvents(std::string_view bytes)
+{
+    std::string whole;
+    for (const http1::StreamEvent& event : m_attempt->splitter.feed(bytes)) {
+        // A resumed run may begin with an event that the caller already has.
+        if (event.id && m_lastEvent && *event.id <= *m_lastEvent)
+            continue;
+        if (event.id)
+            m_lastEvent = event.id;
+        whole += event.bytes;
+    }
+    if (!whole.empty())
+        m_writer->writeBody(whole);
+}
+
+void RequestRun::onEnd(channels::ExchangeEnd end)
+{
+    const Outcome outcome = judge(end);
+    constexpr std::array<std::string_view, 5> Names { "served", "failed_by_target", "not_executed",
+        "not_sent", "unknown" };
+    telemetry::logInfo("request", "Attempt ended.",
+        { { "id", m_terms.attempt.text() }, { "attempt", std::to_string(m_attempt->number) },
+            { "target", m_attempt->target.id.text() },
+            { "outcome", std::string(Names[static_cast<size_t>(outcome)]) },
+            { "status", std::to_string(m_attempt->head ? m_attempt->head->status : 0) },
+            { "took_ms", text(since(m_attempt->startedAt)) } });
+    afterAttempt(outcome);
+}
+
+RequestRun::Outcome RequestRun::judge(channels::ExchangeEnd end) const
+{
+    if (end == channels::ExchangeEnd::NotSent)
+        return Outcome::NotSent;
+    if (!m_attempt->head)
+        return Outcome::Unknown;
+    if (m_attempt->terms.isNotExecuted)
+        return Outcome::NotExecuted;
+    if (end != channels::ExchangeEnd::Complete)
+        return Outcome::Unknown;
+    if (!isSuccess(m_attempt->head->status))
+        return Outcome::FailedByTarget;
+    if (m_attempt->step == Step::ReadPrompt)
+        return Outcome::Served;
+    // A success without a signature is not the target's answer.
+    if (!m_attempt->terms.isSigned || m_attempt->splitter.hasPartialEvent())
+        return Outcome::Unknown;
+    return Outcome::Served;
+}
+
+void RequestRun::afterAttempt(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Served:
+        endAttempt(dispatch::AttemptResult::Served);
+        break;
+    case Outcome::NotExecuted:
+        endAttempt(m_attempt->terms.isOtherTarget ? dispatch::AttemptResult::Replaced
+                                                  : dispatch::AttemptResult::Refused);
+        break;
+    case Outcome::NotSent:
+        endAttempt(dispatch::AttemptResult::Unreachable);
+        break;
+    case Outcome::FailedByTarget:
+    case Outcome::Unknown:
+        endAttempt(dispatch::AttemptResult::Failed);
+        break;
+    }
+    if (m_attempt->step == Step::ReadPrompt)
+        afterPrompt(outcome);
+    else
+        afterAnswer(outcome);
+}
+
+void RequestRun::afterPrompt(Outcome outcome)
+{
+    if (outcome == Outcome::Served) {
+        try {
+            m_prompt
+                = ReadyPrompt { m_attempt->target, adapter::decodePromptHandle(m_attempt->body) };
+            m_context.readSpeeds[m_pool->id].noteRead(
+                m_attempt->tokensToRead, m_attempt->tokensAhead, since(m_attempt->startedAt));
+            m_context.noteParts(m_attempt->target.id, m_terms.prompt->parts);
+            m_context.peers->noteParts(m_attempt->target.id, m_terms.prompt->parts);
+            // Attempts at makers start with a clean record.
+            m_avoided.clear();
+            sendNext();
+            return;
+        } catch (const adapter::DocumentUnreadable& unreadable) {
+            telemetry::logWarning("request", "Unreadable handle.",
+                { { "id", m_terms.attempt.text() }, { "cause", unreadable.describe() } });
+        }
+    }
+    // An engine whose answer was lost has probably read the prompt; there it costs nothing again.
+    const bool isFirstLoss
+        = outcome == Outcome::Unknown && m_lostAnswers.insert(m_attempt->target.id).second;
+    if (!isFirstLoss) {
+        m_avoided.insert(m_attempt->target.id);
+        m_context.ledger.noteNotRead(m_attempt->target.id, m_terms.prompt->parts);
+    }
+    // Reading a prompt runs nothing, so that any outcome lets it be read elsewhere.
+    tryAgain(false, "the prompt was not read");
+}
+
+void RequestRun::afterAnswer(Outcome outcome)
+{
+    m_avoided.insert(m_attempt->target.id);
+    switch (outcome) {
+    case Outcome::Served:
+        m_prompt.reset();
+        finishServed();
+        return;
+    case Outcome::FailedByTarget:
+        m_ranOn.insert(m_attempt->target.id);
+        m_prompt.reset();
+        passOnFailure();
+        return;
+    case Outcome::NotExecuted:
+    case Outcome::NotSent:
+        tryAgain(false, "the target did not run it");
+        return;
+    case Outcome::Unknown:
+        m_ranOn.insert(m_attempt->target.id);
+        freePrompt();
+        tryAgain(true, "the target's answer broke off");
+        return;
+    }
+}
+
+void RequestRun::finishServed()
+{
+    const uint32_t status = m_attempt->head->status;
+    if (m_hasBegunAnswer)
+        m_writer->endBody();
+    else
+        m_writer->respond(status, m_attempt->head->reason, adapter::callerHeaders(*m_attempt->head),
+            m_attempt->body);
+    finish("served", status, "");
+}
+
+void RequestRun::passOnFailure()
+{
+    if (m_hasBegunAnswer) {
+        finish("broken", m_attempt->head->status, "the resumed run failed");
+        m_writer->abort();
+        return;
+    }
+    m_writer->respond(m_attempt->head->status, m_attempt->head->reason,
+        adapter::callerHeaders(*m_attempt->head), m_attempt->body);
+    finish("failed_by_target", m_attempt->head->status, "");
+}
+
+} // namespace citronspoke::gateway
--- /dev/null
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -0,0 +1,235 @@
+#include "GatewayFixture.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <criterion/criterion.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace citronspoke::gateway::tests {
+
+namespace {
+
+    constexpr std::string_view HostName = "site.example";
+
+    http1::Headers signedHeaders(const fakes::FakeRequest& request)
+    {
+        http1::Headers headers;
+        headers.add("X-Attempt-Id", request.field("X-Attempt-Id"));
+        headers.add("X-Server-Stamp", "stamp");
+        return headers;
+    }
+
+} // namespace
+
+GatewayFixture::GatewayFixture()
+    : m_callersPort(fakes::freePort())
+    , m_readinessPort(fakes::freePort())
+    , m_operatorPort(fakes::freePort())
+{
+}
+
+GatewayFixture::~GatewayFixture()
+{
+    m_loop.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void GatewayFixture::addRoute(const std::string& prefix, const RouteOptions& options)
+{
+    m_routes.push_back({ { "name", "r" + prefix }, { "hostname", HostName },
+        { "pathPrefix", prefix }, { "routeKind", options.kind }, { "timeoutMs", options.timeoutMs },
+        { "targetLatencyMs", 500 }, { "priority", 1 }, { "service", options.service },
+        { "maxAttempts", options.attempts }, { "sticky", options.carriesPrompts },
+        { "resumable", options.isResumable }, { "targetGapMs", 300 } });
+}
+
+void GatewayFixture::declare(int version)
+{
+    const nlohmann::json engine { { "slots", 64 }, { "kvCapacity", 400000 }, { "kvBytes", 18432 },
+        { "kvHoldS", 5.0 }, { "switchS", 3.0 } };
+    const nlohmann::json services { { { "name", "app" }, { "healthPath", "/healthz" },
+                                        { "maxConns", 100 } },
+        { { "name", "llm" }, { "healthPath", "/healthz" }, { "maxConns", 100 },
+            { "engine", engine } } };
+    const nlohmann::json declaration { { "version", version }, { "routes", m_routes },
+        { "services", services },
+        { "limits",
+            { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 65536 }, { "headerTimeoutMs", 3000 },
+                { "idleTimeoutMs", 15000 } } } };
+    m_store.put("op/config", declaration.dump());
+}
+
+void GatewayFixture::addTarget(
+    const std::string& id, const std::string& service, Script script, const std::string& role)
+{
+    m_targets.push_back(std::make_unique<fakes::FakeHttpServer>(
+        [this, id, script = std::move(script)](
+            const fakes::FakeRequest& request, fakes::FakeConnection& connection) {
+            {
+                std::lock_guard lock(m_mutex);
+                m_seen.push_back({ id, request });
+            }
+            script(request, connection);
+        }));
+    nlohmann::json entry { { "service", service },
+        { "address", m_targets.back()->address().text() }, { "zone", "zone-a" }, { "slots", 4 },
+        { "state", "ready" }, { "seq", 1 } };
+    if (!role.empty())
+        entry["phase"] = role;
+    m_store.put("servers/" + id, entry.dump());
+}
+
+void GatewayFixture::start()
+{
+    const std::string host = "127.0.0.1:";
+    m_settings.id = "gateway-1";
+    m_settings.zone = ZoneId("zone-a");
+    m_settings.callers = host + std::to_string(m_callersPort);
+    m_settings.readiness = host + std::to_string(m_readinessPort);
+    m_settings.operatorAddress = host + std::to_string(m_operatorPort);
+    m_settings.store = m_store.address().text();
+    m_settings.stopGrace = Milliseconds(20000);
+    m_settings.retries = { 10, 100, Milliseconds(10000) };
+    m_gateway = std::make_unique<Gateway>(m_loop, m_settings);
+    m_gateway->start();
+    m_thread = std::jthread([this] { m_loop.run(); });
+}
+
+uint32_t GatewayFixture::readiness() const
+{
+    Caller caller({ "127.0.0.1", m_readinessPort });
+    caller.send("GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n");
+    return caller.receive().status;
+}
+
+std::vector<SeenRequest> GatewayFixture::seen() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_seen;
+}
+
+size_t GatewayFixture::seenBy(const std::string& target) const
+{
+    size_t count = 0;
+    for (const SeenRequest& request : seen())
+        count += request.target == target ? 1 : 0;
+    return count;
+}
+
+void GatewayFixture::waitUntil(const std::function<bool()>& condition)
+{
+    // Only a hang reaches this limit; no outcome depends on it.
+    constexpr std::chrono::seconds HangLimit { 30 };
+    const SteadyTime start = steadyNow();
+    while (!condition()) {
+        cr_assert(steadyNow() - start < HangLimit, "The awaited state never came.");
+        std::this_thread::sleep_for(Milliseconds(5));
+    }
+}
+
+Caller::Caller(const fleet::Address& gateway)
+    : m_descriptor(socket(AF_INET, SOCK_STREAM, 0))
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(gateway.port);
+    inet_pton(AF_INET, gateway.ip.c_str(), &address.sin_addr);
+    const int result = connect(m_descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    cr_assert_eq(result, 0);
+}
+
+Caller::~Caller() { close(); }
+
+void Caller::close()
+{
+    if (m_descriptor >= 0)
+        ::close(std::exchange(m_descriptor, -1));
+}
+
+void Caller::send(std::string_view bytes)
+{
+    cr_assert_eq(::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+        static_cast<ssize_t>(bytes.size()));
+}
+
+CallerAnswer Caller::receive()
+{
+    CallerAnswer answer;
+    http1::ResponseParser parser;
+    std::array<char, 16384> buffer {};
+    while (!answer.isWhole) {
+        const ssize_t size = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+        if (size <= 0)
+            return answer;
+        std::vector<http1::ResponseEvent> events;
+        parser.feed(std::string_view(buffer.data(), static_cast<size_t>(size)), events);
+        for (const http1::ResponseEvent& event : events) {
+            if (const http1::ResponseHead* head = std::get_if<http1::ResponseHead>(&event)) {
+                answer.status = head->status;
+                answer.headers = head->headers;
+            } else if (const http1::BodyPart* part = std::get_if<http1::BodyPart>(&event)) {
+                answer.body += part->bytes;
+            } else {
+                answer.isWhole = true;
+            }
+        }
+    }
+    return answer;
+}
+
+void Caller::receiveUntil(std::string_view bodyEnd)
+{
+    std::string text;
+    char letter = 0;
+    while (!text.ends_with(bodyEnd) && recv(m_descriptor, &letter, 1, 0) == 1)
+        text.push_back(letter);
+    cr_assert(text.ends_with(bodyEnd));
+}
+
+std::string requestText(const std::string& method, const std::string& path,
+    const std::string& attempt, const std::string& extraLines, const std::string& body)
+{
+    std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + std::string(HostName);
+    text += "\r\nX-Attempt-Id: " + attempt + "\r\nX-Deadline-Ms: 20000\r\n" + extraLines;
+    if (!body.empty())
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return text + "\r\n" + body;
+}
+
+CallerAnswer ask(const GatewayFixture& fixture, const std::string& request)
+{
+    Caller caller(fixture.callers());
+    caller.send(request);
+    return caller.receive();
+}
+
+void answerSigned(
+    const fakes::FakeRequest& request, fakes::FakeConnection& connection, std::string_view body)
+{
+    connection.answer(200, signedHeaders(request), body);
+}
+
+void refuseUnrun(const fakes::FakeRequest& request, fakes::FakeConnection& connection)
+{
+    http1::Headers headers;
+    headers.add("X-Attempt-Id", request.field("X-Attempt-Id"));
+    headers.add("X-Not-Executed", "1");
+    connection.answer(503, headers, "");
+}
+
+void sendEvents(
+    const fakes::FakeRequest& request, fakes::FakeConnection& connection, int first, int last)
+{
+    http1::Headers headers = signedHeaders(request);
+    headers.add("Content-Type", "text/event-stream");
+    headers.add("Transfer-Encoding", "chunked");
+    connection.send(http1::composeResponse(200, "OK", headers));
+    for (int id = first; id <= last; ++id) {
+        const std::string number = std::to_string(id);
+        connection.send(http1::composeChunk("id: " + number + "\ndata: token " + number + "\n\n"));
+    }
+}
+
+} // namespace citronspoke::gateway::tests
--- /dev/null
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "FakeFleetStore.h"
+#include "Gateway.h"
+
+#include <nlohmann/json.hpp>
+
+namespace citronspoke::gateway::tests {
+
+/** What a route of the fake declaration may set. */
+struct RouteOptions {
+    std::string kind = "idempotent";
+    std::string service = "app";
+    int timeoutMs = 3000;
+    int attempts = 2;
+    bool isResumable = false;
+    bool carriesPrompts = false;
+};
+
+/** A request that a fake target got. */
+struct SeenRequest {
+    std::string target;
+    fakes::FakeRequest request;
+};
+
+/** A gateway with a fake store and fake targets, on free ports of this machine. */
+class GatewayFixture {
+public:
+    /** Answers a request at a target. */
+    using Script = std::function<void(const fakes::FakeRequest&, fakes::FakeConnection&)>;
+
+    GatewayFixture();
+    ~GatewayFixture();
+
+    void addRoute(const std::string& prefix, const RouteOptions& options);
+    /** Writes the declaration with the routes so far. */
+    void declare(int version);
+    /** @param role empty for an application. */
+    void addTarget(const std::string& id, const std::string& service, Script script,
+        const std::string& role = {});
+    /** Starts the gateway and waits until it is ready. */
+    void start();
+    void stopGateway()
+    {
+        m_loop.post([this] { m_gateway->beginStop(); });
+    }
+
+    fakes::FakeFleetStore& store() { return m_store; }
+    fleet::Address callers() const { return { "127.0.0.1", m_callersPort }; }
+    /** @return the status of the readiness page. */
+    uint32_t readiness() const;
+    std::vector<SeenRequest> seen() const;
+    /** @return how many requests a target got. */
+    size_t seenBy(const std::string& target) const;
+    /** Waits until a condition holds; the test fails when it never does. */
+    static void waitUntil(const std::function<bool()>& condition);
+
+private:
+    std::string settingsText() const;
+
+    fakes::FakeFleetStore m_store;
+    nlohmann::json m_routes = nlohmann::json::array();
+    mutable std::mutex m_mutex;
+    std::vector<SeenRequest> m_seen;
+    std::vector<std::unique_ptr<fakes::FakeHttpServer>> m_targets;
+    uint16_t m_callersPort;
+    uint16_t m_readinessPort;
+    uint16_t m_operatorPort;
+    settings::GatewaySettings m_settings;
+    channels::EventLoop m_loop;
+    std::unique_ptr<Gateway> m_gateway;
+    std::jthread m_thread;
+};
+
+/** A caller's answer, as far as it came. */
+struct CallerAnswer {
+    uint32_t status = 0;
+    http1::Headers headers;
+    std::string body;
+    /** The end of the answer was seen. */
+    bool isWhole = false;
+};
+
+/** A caller's connection. */
+class Caller {
+public:
+    explicit Caller(const fleet::Address& gateway);
+    ~Caller();
+    Caller(const Caller&) = delete;
+    Caller& operator=(const Caller&) = delete;
+
+    void send(std::string_view bytes);
+    /** Reads one answer, or up to the end of the connection. */
+    CallerAnswer receive();
+    /** Reads until the body so far ends so. */
+    void receiveUntil(std::string_view bodyEnd);
+    void close();
+
+private:
+    int m_descriptor;
+};
+
+/** @return a request with an attempt id and a deadline; extra lines end with CRLF. */
+std::string requestText(const std::string& method, const std::string& path,
+    const std::string& attempt, const std::string& extraLines = {}, const std::string& body = {});
+/** @return one request's answer on a connection of its own. */
+CallerAnswer ask(const GatewayFixture& fixture, const std::string& request);
+
+/** Answers with the target's signature, as sound targets do. */
+void answerSigned(const fakes::FakeRequest& request, fakes::FakeConnection& connection,
+    std::string_view body = "ok");
+/** Says that the request was not run. */
+void refuseUnrun(const fakes::FakeRequest& request, fakes::FakeConnection& connection);
+/** Sends the head of a signed stream and its events with these ids, without the stream's end. */
+void sendEvents(
+    const fakes::FakeRequest& request, fakes::FakeConnection& connection, int first, int last);
+
+} // namespace citronspoke::gateway::tests
--- /dev/null
+++ b/apps/gateway/tests/GatewayTests.cpp
@@ -0,0 +1,314 @@
+#include "GatewayFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace citronspoke;
+using namespace citronspoke::gateway;
+using namespace citronspoke::gateway::tests;
+using fakes::FakeConnection;
+using fakes::FakeRequest;
+
+namespace {
+
+void breakOff(const FakeRequest&, FakeConnection& connection) { connection.reset(); }
+
+void answer(const FakeRequest& request, FakeConnection& connection)
+{
+    answerSigned(request, connection);
+}
+
+/** A gateway with two applications behind one route. */
+void startPair(
+    GatewayFixture& fixture, const RouteOptions& options, const GatewayFixture::Script& script)
+{
+    fixture.addRoute("/a/", options);
+    fixture.declare(1);
+    fixture.addTarget("one", "app", script);
+    fixture.addTarget("two", "app", script);
+    fixture.start();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
+}
+
+const RouteOptions AtMostOnce { "non_idempotent" };
+const RouteOptions Repeatable { "idempotent" };
+
+} // namespace
+
+Test(gateway, is_not_ready_and_refuses_before_it_knows_a_declaration)
+{
+    GatewayFixture fixture;
+    fixture.start();
+    cr_assert_eq(fixture.readiness(), 503U);
+    const CallerAnswer refused = ask(fixture, requestText("GET", "/a/x", "a1"));
+    cr_assert_eq(refused.status, 503U);
+    cr_assert(refused.headers.find("Retry-After").has_value());
+}
+
+Test(gateway, passes_method_path_body_and_answer_on_unchanged)
+{
+    GatewayFixture fixture;
+    startPair(fixture, Repeatable, answer);
+    const CallerAnswer answered
+        = ask(fixture, requestText("POST", "/a/x?q=1", "a1", "X-Own: kept\r\n", "the body"));
+    cr_assert_eq(answered.status, 200U);
+    cr_assert(answered.isWhole && answered.body == "ok");
+    cr_assert(answered.headers.find("X-Server-Stamp").value_or("") == "stamp");
+    const FakeRequest seen = fixture.seen().at(0).request;
+    cr_assert(seen.head.method == "POST" && seen.head.target == "/a/x?q=1");
+    cr_assert(seen.body == "the body" && seen.field("X-Own") == "kept");
+    cr_assert(seen.field("X-Attempt-Id") == "a1");
+    cr_assert(seen.field("X-Expect-Instance") == fixture.seen().at(0).target);
+    cr_assert_leq(std::stoi(seen.field("X-Deadline-Ms")), 3000, "The route's timeout is shorter.");
+}
+
+Test(gateway, drops_what_only_the_system_may_set)
+{
+    GatewayFixture fixture;
+    startPair(fixture, Repeatable, answer);
+    ask(fixture,
+        requestText("GET", "/a/x", "a1",
+            "X-Phase: prefill\r\nX-Kv-Source: 1.2.3.4:5/h\r\nX-Pin-Ms: 9\r\nX-Kv-Retention: r\r\n"
+            "X-Kv-Replica: 1.2.3.4:5\r\nKv-Fetch: 1.2.3.4:5\r\nX-Request-Priority: 0\r\n"
+            "Connection: X-Hop\r\nX-Hop: 1\r\n"));
+    const FakeRequest seen = fixture.seen().at(0).request;
+    for (const std::string_view field : { "X-Phase", "X-Kv-Source", "X-Pin-Ms", "X-Kv-Retention",
+             "X-Kv-Replica", "Kv-Fetch", "X-Request-Priority", "X-Hop" })
+        cr_expect(seen.field(field).empty(), "%s", field.data());
+}
+
+Test(gateway, answers_404_without_a_route_and_400_without_an_attempt_id)
+{
+    GatewayFixture fixture;
+    startPair(fixture, Repeatable, answer);
+    cr_assert_eq(ask(fixture, requestText("GET", "/b/x", "a1")).status, 404U);
+    cr_assert_eq(ask(fixture, "GET /a/x HTTP/1.1\r\nHost: site.example\r\n\r\n").status, 400U);
+}
+
+Test(gateway, rejects_smuggling_and_oversized_messages)
+{
+    GatewayFixture fixture;
+    startPair(fixture, Repeatable, answer);
+    const std::string smuggling = "POST /a/x HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: a1\r\n"
+                                  "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                  "0\r\n\r\nGET /a/y HTTP/1.1\r\nHost: site.example\r\n\r\n";
+    cr_assert_eq(ask(fixture, smuggling).status, 400U);
+    const std::string large(70000, 'x');
+    cr_assert_eq(ask(fixture, requestText("POST", "/a/x", "a2", "", large)).status, 413U);
+    const std::string longLine = "X-Long: " + std::string(5000, 'x') + "\r\n";
+    cr_assert_eq(ask(fixture, requestText("GET", "/a/x", "a3", longLine)).status, 431U);
+    cr_assert_eq(fixture.seen().size(), 0U);
+}
+
+Test(gateway, answers_pipelined_requests_in_order)
+{
+    GatewayFixture fixture;
+    startPair(fixture, Repeatable, [](const FakeRequest& request, FakeConnection& connection) {
+        answerSigned(request, connection, request.head.target);
+    });
+    Caller caller(fixture.callers());
+    caller.send(requestText("GET", "/a/first", "a1") + requestText("GET", "/a/second", "a2"));
+    cr_assert(caller.receive().body == "/a/first");
+    cr_assert(caller.receive().body == "/a/second");
+}
+
+Test(at_most_once, work_that_may_have_run_is_never_sent_again)
+{
+    GatewayFixture fixture;
+    startPair(fixture, AtMostOnce, breakOff);
+    const CallerAnswer failed = ask(fixture, requestText("POST", "/a/x", "a1", "", "receipt"));
+    cr_assert_eq(failed.status, 502U, "503 would promise that it has not run.");
+    cr_assert_eq(fixture.seen().size(), 1U);
+}
+
+Test(at_most_once, work_that_a_target_did_not_run_goes_to_another)
+{
+    GatewayFixture fixture;
+    fixture.addRoute("/a/", AtMostOnce);
+    fixture.declare(1);
+    fixture.addTarget("one", "app", refuseUnrun);
+    fixture.addTarget("two", "app", answer);
+    fixture.start();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
+    // Whichever is asked first, the request ends at the one that runs it.
+    for (const char* attempt : { "a1", "a2", "a3" })
+        cr_assert_eq(ask(fixture, requestText("POST", "/a/x", attempt)).status, 200U);
+    cr_assert_eq(fixture.seenBy("two"), 3U);
+}
+
+Test(at_most_once, a_refusal_everywhere_promises_that_it_has_not_run)
+{
+    GatewayFixture fixture;
+    startPair(fixture, AtMostOnce, refuseUnrun);
+    const CallerAnswer refused = ask(fixture, requestText("POST", "/a/x", "a1"));
+    cr_assert_eq(refused.status, 503U);
+    cr_assert(refused.headers.find("Retry-After").has_value());
+}
+
+Test(at_most_once, the_deadline_of_work_that_may_run_promises_nothing)
+{
+    GatewayFixture fixture;
+    RouteOptions options = AtMostOnce;
+    options.timeoutMs = 200;
+    startPair(fixture, options,
+        [](const FakeRequest&, FakeConnection& connection) { connection.waitForClose(); });
+    cr_assert_eq(ask(fixture, requestText("POST", "/a/x", "a1")).status, 504U);
+    cr_assert_eq(fixture.seen().size(), 1U);
+}
+
+Test(idempotent, a_broken_answer_is_asked_of_another_target)
+{
+    GatewayFixture fixture;
+    fixture.addRoute("/a/", Repeatable);
+    fixture.declare(1);
+    fixture.addTarget("one", "app", breakOff);
+    fixture.addTarget("two", "app", answer);
+    fixture.start();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
+    for (const char* attempt : { "a1", "a2", "a3" })
+        cr_assert_eq(ask(fixture, requestText("GET", "/a/x", attempt)).status, 200U);
+}
+
+Test(idempotent, no_more_targets_run_it_than_its_route_allows)
+{
+    GatewayFixture fixture;
+    RouteOptions options = Repeatable;
+    options.attempts = 1;
+    startPair(fixture, options, breakOff);
+    cr_assert_eq(ask(fixture, requestText("GET", "/a/x", "a1")).status, 502U);
+    cr_assert_eq(fixture.seen().size(), 1U);
+}
+
+Test(answers, a_success_without_a_signature_is_not_passed_on)
+{
+    GatewayFixture fixture;
+    startPair(fixture, AtMostOnce, [](const FakeRequest& request, FakeConnection& connection) {
+        http1::Headers headers;
+        headers.add("X-Attempt-Id", request.field("X-Attempt-Id"));
+        connection.answer(200, headers, "forged");
+    });
+    cr_assert_eq(ask(fixture, requestText("POST", "/a/x", "a1")).status, 502U);
+}
+
+Test(answers, a_failure_of_the_target_is_passed_on_as_it_is)
+{
+    GatewayFixture fixture;
+    startPair(fixture, AtMostOnce, [](const FakeRequest& request, FakeConnection& connection) {
+        http1::Headers headers;
+        headers.add("X-Attempt-Id", request.field("X-Attempt-Id"));
+        headers.add("X-Server-Stamp", "stamp");
+        connection.answer(500, headers, "why");
+    });
+    const CallerAnswer failed = ask(fixture, requestText("POST", "/a/x", "a1"));
+    cr_assert_eq(failed.status, 500U);
+    cr_assert(failed.body == "why");
+    cr_assert(failed.headers.find("X-Server-Stamp").has_value());
+}
+
+Test(answers, an_extra_answer_of_an_earlier_request_reaches_nobody)
+{
+    GatewayFixture fixture;
+    fixture.addRoute("/a/", Repeatable);
+    fixture.declare(1);
+    fixture.addTarget("one", "app", [](const FakeRequest& request, FakeConnection& connection) {
+        answerSigned(request, connection, request.field("X-Attempt-Id"));
+        // Comes where the answer to the next request is expected.
+        connection.answer(200, {}, "extra");
+    });
+    fixture.start();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
+    for (const std::string attempt : { "a1", "a2", "a3" })
+        cr_assert(ask(fixture, requestText("GET", "/a/x", attempt)).body == attempt);
+}
+
+Test(callers, a_caller_that_leaves_ends_the_work_at_its_target)
+{
+    GatewayFixture fixture;
+    std::atomic<bool> isClosed { false };
+    startPair(fixture, Repeatable, [&](const FakeRequest&, FakeConnection& connection) {
+        connection.waitForClose();
+        isClosed = true;
+    });
+    Caller caller(fixture.callers());
+    caller.send(requestText("GET", "/a/x", "a1"));
+    GatewayFixture::waitUntil([&] { return fixture.seen().size() == 1; });
+    caller.close();
+    GatewayFixture::waitUntil([&] { return isClosed.load(); });
+}
+
+Test(configuration, a_new_route_is_served_and_an_older_declaration_changes_nothing)
+{
+    GatewayFixture fixture;
+    startPair(fixture, Repeatable, answer);
+    fixture.addRoute("/b/", Repeatable);
+    fixture.declare(7);
+    GatewayFixture::waitUntil(
+        [&] { return ask(fixture, requestText("GET", "/b/x", "a1")).status == 200; });
+    fixture.store().put("op/config", R"({"version":3,"routes":[],"services":[]})");
+    fixture.store().put("op/config", "not a document");
+    fixture.addRoute("/c/", Repeatable);
+    fixture.declare(8);
+    GatewayFixture::waitUntil(
+        [&] { return ask(fixture, requestText("GET", "/c/x", "a2")).status == 200; });
+    cr_assert_eq(ask(fixture, requestText("GET", "/b/x", "a3")).status, 200U);
+}
+
+Test(configuration, lost_history_and_odd_entries_leave_the_others_in_use)
+{
+    GatewayFixture fixture;
+    startPair(fixture, Repeatable, answer);
+    fixture.store().put("servers/odd-1", "\xff\xfe not JSON");
+    fixture.store().put("servers/odd-2", R"({"service":7})");
+    fixture.store().put("servers/odd-3",
+        R"({"service":"app","address":"10.0.0.1:1","zone":"z","slots":4,"state":"resting"})");
+    fixture.store().dropHistory();
+    fixture.addRoute("/b/", Repeatable);
+    fixture.declare(2);
+    GatewayFixture::waitUntil(
+        [&] { return ask(fixture, requestText("GET", "/b/x", "a1")).status == 200; });
+}
+
+Test(configuration, serving_goes_on_while_the_store_refuses)
+{
+    GatewayFixture fixture;
+    startPair(fixture, Repeatable, answer);
+    fixture.store().refuse(true);
+    for (const char* attempt : { "a1", "a2", "a3" })
+        cr_assert_eq(ask(fixture, requestText("GET", "/a/x", attempt)).status, 200U);
+    cr_assert_eq(fixture.readiness(), 200U);
+}
+
+Test(leaving, a_target_that_leaves_gets_no_new_work)
+{
+    GatewayFixture fixture;
+    startPair(fixture, Repeatable, answer);
+    fixture.store().remove("servers/one");
+    GatewayFixture::waitUntil([&] {
+        const size_t before = fixture.seenBy("one");
+        for (const char* attempt : { "a1", "a2", "a3", "a4" })
+            cr_assert_eq(ask(fixture, requestText("GET", "/a/x", attempt)).status, 200U);
+        return fixture.seenBy("one") == before;
+    });
+    const size_t before = fixture.seenBy("one");
+    for (const char* attempt : { "b1", "b2", "b3", "b4" })
+        cr_assert_eq(ask(fixture, requestText("GET", "/a/x", attempt)).status, 200U);
+    cr_assert_eq(fixture.seenBy("one"), before);
+}
+
+Test(leaving, a_gateway_that_stops_finishes_what_it_serves)
+{
+    GatewayFixture fixture;
+    std::atomic<bool> mayAnswer { false };
+    startPair(fixture, AtMostOnce, [&](const FakeRequest& request, FakeConnection& connection) {
+        GatewayFixture::waitUntil([&] { return mayAnswer.load(); });
+        answerSigned(request, connection);
+    });
+    Caller caller(fixture.callers());
+    caller.send(requestText("POST", "/a/x", "a1"));
+    GatewayFixture::waitUntil([&] { return fixture.seen().size() == 1; });
+    fixture.stopGateway();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 503; });
+    mayAnswer = true;
+    const CallerAnswer answered = caller.receive();
+    cr_assert_eq(answered.status, 200U);
+    cr_assert(answered.headers.find("Connection").value_or("") == "close");
+}
--- /dev/null
+++ b/apps/gateway/tests/StreamTests.cpp
@@ -0,0 +1,187 @@
+#include "GatewayFixture.h"
+#include "telemetry/Telemetry.h"
+
+#include <criterion/criterion.h>
+
+using namespace citronspoke;
+using namespace citronspoke::gateway;
+using namespace citronspoke::gateway::tests;
+using fakes::FakeConnection;
+using fakes::FakeRequest;
+
+namespace {
+
+const std::string PromptLines = "X-Model: m\r\nX-Token-Counts: 1460,80\r\n"
+                                "X-Prefix-Hash: 5c1e:800,91bd:660\r\n";
+
+std::string eventsText(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id) {
+        const std::string number = std::to_string(id);
+        text += "id: " + number + "\ndata: token " + number + "\n\n";
+    }
+    return text;
+}
+
+void streamWhole(const FakeRequest& request, FakeConnection& connection)
+{
+    const std::string last = request.field("Last-Event-Id");
+    sendEvents(request, connection, last.empty() ? 1 : std::stoi(last) + 1, 4);
+    connection.send(http1::LastChunk);
+}
+
+void readPrompt(const FakeRequest& request, FakeConnection& connection)
+{
+    if (request.head.method == "DELETE") {
+        connection.answer(200, {}, "");
+        return;
+    }
+    http1::Headers headers;
+    headers.add("X-Attempt-Id", request.field("X-Attempt-Id"));
+    connection.answer(200, headers, R"({"kvHandle":"h1","tokens":1460,"version":1})");
+}
+
+void startEngines(GatewayFixture& fixture, bool isResumable, const GatewayFixture::Script& reader,
+    const GatewayFixture::Script& maker, const GatewayFixture::Script& otherMaker)
+{
+    fixture.addRoute("/s/", { "streaming", "llm", 5000, 2, isResumable, true });
+    fixture.declare(1);
+    fixture.addTarget("reader", "llm", reader, "prefill");
+    fixture.addTarget("maker-1", "llm", maker, "decode");
+    fixture.addTarget("maker-2", "llm", otherMaker, "decode");
+    fixture.start();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
+}
+
+} // namespace
+
+Test(streams, are_read_by_one_engine_and_made_by_another)
+{
+    GatewayFixture fixture;
+    startEngines(fixture, true, readPrompt, streamWhole, streamWhole);
+    const CallerAnswer answered
+        = ask(fixture, requestText("POST", "/s/x", "a1", PromptLines, "prompt"));
+    cr_assert_eq(answered.status, 200U);
+    cr_assert(answered.isWhole);
+    cr_assert(answered.body == eventsText(1, 4));
+    const std::vector<SeenRequest> seen = fixture.seen();
+    cr_assert_eq(seen.size(), 2U);
+    cr_assert(seen[0].target == "reader" && seen[0].request.field("X-Phase") == "prefill");
+    cr_assert(seen[1].request.field("X-Kv-Source").ends_with("/h1"));
+    cr_assert(seen[1].request.field("X-Phase").empty());
+    for (const SeenRequest& request : seen)
+        cr_assert(request.request.body == "prompt");
+}
+
+Test(streams, that_break_go_on_elsewhere_with_each_event_once)
+{
+    GatewayFixture fixture;
+    std::atomic<int> runs { 0 };
+    const GatewayFixture::Script script
+        = [&runs](const FakeRequest& request, FakeConnection& connection) {
+              if (runs++ > 0) {
+                  streamWhole(request, connection);
+                  return;
+              }
+              sendEvents(request, connection, 1, 2);
+              // Torn in the middle of an event.
+              connection.send(http1::composeChunk("id: 3\ndata: to"));
+              connection.reset();
+          };
+    startEngines(fixture, true, readPrompt, script, script);
+    const CallerAnswer answered = ask(fixture, requestText("POST", "/s/x", "a1", PromptLines));
+    cr_assert(answered.isWhole);
+    cr_assert(answered.body == eventsText(1, 4));
+    cr_assert(fixture.seen().back().request.field("Last-Event-Id") == "2");
+}
+
+Test(streams, that_may_not_be_resumed_break_visibly)
+{
+    GatewayFixture fixture;
+    const GatewayFixture::Script script
+        = [](const FakeRequest& request, FakeConnection& connection) {
+              sendEvents(request, connection, 1, 2);
+              connection.reset();
+          };
+    startEngines(fixture, false, readPrompt, script, script);
+    const CallerAnswer answered = ask(fixture, requestText("POST", "/s/x", "a1", PromptLines));
+    cr_assert_not(answered.isWhole, "What ends early must not look complete.");
+    GatewayFixture::waitUntil(
+        [] { return telemetry::metricsText().find("outcome=\"broken\"") != std::string::npos; });
+    cr_assert(telemetry::metricsText().find("outcome=\"caller_left\"") == std::string::npos,
+        "A request is counted once.");
+    cr_assert_eq(fixture.seenBy("maker-1") + fixture.seenBy("maker-2"), 1U);
+}
+
+Test(streams, a_caller_that_resumes_gets_the_rest)
+{
+    GatewayFixture fixture;
+    startEngines(fixture, true, readPrompt, streamWhole, streamWhole);
+    const CallerAnswer answered
+        = ask(fixture, requestText("POST", "/s/x", "a1", PromptLines + "Last-Event-Id: 2\r\n"));
+    cr_assert(answered.body == eventsText(3, 4));
+}
+
+Test(streams, a_prompt_that_nobody_takes_is_freed)
+{
+    GatewayFixture fixture;
+    std::atomic<bool> isFreed { false };
+    const GatewayFixture::Script reader
+        = [&isFreed](const FakeRequest& request, FakeConnection& connection) {
+              if (request.head.method == "DELETE")
+                  isFreed = request.head.target == "/kv-handle/h1";
+              readPrompt(request, connection);
+          };
+    const GatewayFixture::Script maker
+        = [](const FakeRequest&, FakeConnection& connection) { connection.waitForClose(); };
+    startEngines(fixture, true, reader, maker, maker);
+    Caller caller(fixture.callers());
+    caller.send(requestText("POST", "/s/x", "a1", PromptLines));
+    GatewayFixture::waitUntil([&] { return fixture.seen().size() == 2; });
+    caller.close();
+    GatewayFixture::waitUntil([&] { return isFreed.load(); });
+}
+
+Test(streams, makers_that_refuse_leave_the_prompt_for_another)
+{
+    GatewayFixture fixture;
+    std::atomic<int> refusals { 0 };
+    const GatewayFixture::Script script
+        = [&refusals](const FakeRequest& request, FakeConnection& connection) {
+              if (refusals++ == 0)
+                  refuseUnrun(request, connection);
+              else
+                  streamWhole(request, connection);
+          };
+    startEngines(fixture, false, readPrompt, script, script);
+    cr_assert(ask(fixture, requestText("POST", "/s/x", "a1", PromptLines)).isWhole);
+    cr_assert_eq(fixture.seenBy("reader"), 1U);
+}
+
+Test(streams, a_reading_whose_answer_is_lost_is_asked_of_the_same_engine)
+{
+    GatewayFixture fixture;
+    std::atomic<int> readings { 0 };
+    const GatewayFixture::Script reader
+        = [&readings](const FakeRequest& request, FakeConnection& connection) {
+              if (readings++ == 0)
+                  connection.reset();
+              else
+                  readPrompt(request, connection);
+          };
+    startEngines(fixture, false, reader, streamWhole, streamWhole);
+    cr_assert(ask(fixture, requestText("POST", "/s/x", "a1", PromptLines)).isWhole);
+    cr_assert_eq(readings, 2);
+}
+
+Test(streams, engines_that_were_ordered_to_another_role_get_no_work)
+{
+    GatewayFixture fixture;
+    fixture.store().put("citronspoke/roles/maker-1", "prefill");
+    startEngines(fixture, false, readPrompt, streamWhole, streamWhole);
+    for (const char* attempt : { "a1", "a2", "a3", "a4" })
+        cr_assert(ask(fixture, requestText("POST", "/s/x", attempt, PromptLines)).isWhole);
+    cr_assert_eq(fixture.seenBy("maker-1"), 0U);
+    cr_assert_eq(fixture.seenBy("maker-2"), 4U);
+}
--- /dev/null
+++ b/fakes/fleet/FakeFleetStore.cpp
@@ -0,0 +1,200 @@
+#include "FakeFleetStore.h"
+
+#include <nlohmann/json.hpp>
+
+namespace citronspoke::fakes {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr std::string_view Alphabet
+        = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+    std::string toBase64(std::string_view bytes)
+    {
+        std::string text;
+        for (size_t start = 0; start < bytes.size(); start += 3) {
+            const std::string_view group = bytes.substr(start, 3);
+            uint32_t bits = 0;
+            for (size_t index = 0; index < 3; ++index) {
+                bits <<= 8;
+                if (index < group.size())
+                    bits |= static_cast<unsigned char>(group[index]);
+            }
+            for (size_t index = 0; index < 4; ++index)
+                text.push_back(
+                    index <= group.size() ? Alphabet[(bits >> (18 - 6 * index)) & 0x3F] : '=');
+        }
+        return text;
+    }
+
+    std::string fromBase64(const std::string& text)
+    {
+        std::string bytes;
+        uint32_t bits = 0;
+        int count = 0;
+        for (const char symbol : text) {
+            const size_t value = Alphabet.find(symbol);
+            if (value == std::string_view::npos)
+                break;
+            bits = (bits << 6) | static_cast<uint32_t>(value);
+            count += 6;
+            if (count >= 8) {
+                count -= 8;
+                bytes.push_back(static_cast<char>((bits >> count) & 0xFF));
+            }
+        }
+        return bytes;
+    }
+
+    std::string queryField(const std::string& target, const std::string& name)
+    {
+        const size_t start = target.find(name + "=");
+        if (start == std::string::npos)
+            return {};
+        const size_t value = start + name.size() + 1;
+        return target.substr(value, target.find('&', value) - value);
+    }
+
+    void answerJson(FakeConnection& connection, uint32_t status, const std::string& body)
+    {
+        http1::Headers headers;
+        headers.add("Content-Type", "application/json");
+        connection.answer(status, headers, body);
+    }
+
+} // namespace
+
+FakeFleetStore::FakeFleetStore()
+    : m_server(std::make_unique<FakeHttpServer>(
+        [this](const FakeRequest& request, FakeConnection& connection) {
+            handle(request, connection);
+        }))
+{
+}
+
+FakeFleetStore::~FakeFleetStore()
+{
+    m_isStopping = true;
+    m_changed.notify_all();
+    m_server.reset();
+}
+
+void FakeFleetStore::put(const std::string& key, const std::string& value)
+{
+    std::lock_guard lock(m_mutex);
+    apply(key, value);
+}
+
+void FakeFleetStore::remove(const std::string& key)
+{
+    std::lock_guard lock(m_mutex);
+    apply(key, std::nullopt);
+}
+
+void FakeFleetStore::dropHistory()
+{
+    std::lock_guard lock(m_mutex);
+    m_oldestRevision = ++m_revision;
+    m_changes.clear();
+    m_changed.notify_all();
+}
+
+std::map<std::string, std::string> FakeFleetStore::contents() const
+{
+    std::lock_guard lock(m_mutex);
+    std::map<std::string, std::string> values;
+    for (const auto& [key, item] : m_items)
+        values[key] = item.value;
+    return values;
+}
+
+void FakeFleetStore::apply(const std::string& key, const std::optional<std::string>& value)
+{
+    m_revision += 1;
+    Change change { key, m_revision, std::nullopt };
+    if (value) {
+        Item& item = m_items[key];
+        const int64_t created = item.created == 0 ? m_revision : item.created;
+        item = { *value, m_revision, created };
+        change.item = item;
+    } else {
+        m_items.erase(key);
+    }
+    m_changes.push_back(change);
+    m_changed.notify_all();
+}
+
+std::string FakeFleetStore::range(const std::string& prefix)
+{
+    std::lock_guard lock(m_mutex);
+    Json items = Json::array();
+    for (const auto& [key, item] : m_items) {
+        if (key.starts_with(prefix))
+            items.push_back({ { "key", key }, { "value", toBase64(item.value) },
+                { "revision", item.revision }, { "created", item.created }, { "lease", 0 } });
+    }
+    return Json { { "items", items }, { "hasMore", false }, { "at", m_revision } }.dump();
+}
+
+std::optional<std::string> FakeFleetStore::watch(
+    const std::string& prefix, int64_t after, Milliseconds wait)
+{
+    std::unique_lock lock(m_mutex);
+    Json events = Json::array();
+    const auto collect = [&] {
+        for (const Change& change : m_changes) {
+            if (change.revision <= after || !change.key.starts_with(prefix))
+                continue;
+            Json event { { "key", change.key }, { "revision", change.revision } };
+            if (change.item) {
+                event["value"] = toBase64(change.item->value);
+                event["created"] = change.item->created;
+            } else {
+                event["deleted"] = true;
+            }
+            events.push_back(event);
+        }
+        return !events.empty() || after < m_oldestRevision || m_isStopping;
+    };
+    m_changed.wait_for(lock, wait, collect);
+    if (after < m_oldestRevision)
+        return std::nullopt;
+    return Json { { "events", events }, { "at", m_revision } }.dump();
+}
+
+std::string FakeFleetStore::write(const std::string& body)
+{
+    const Json request = Json::parse(body);
+    std::lock_guard lock(m_mutex);
+    for (const Json& put : request["puts"])
+        apply(put["key"], fromBase64(put["value"]));
+    return Json { { "revision", m_revision } }.dump();
+}
+
+void FakeFleetStore::handle(const FakeRequest& request, FakeConnection& connection)
+{
+    const std::string& target = request.head.target;
+    if (m_isRefusing) {
+        answerJson(connection, 503, "{}");
+        return;
+    }
+    std::string prefix = queryField(target, "pathPrefix");
+    if (target.starts_with("/kv-range")) {
+        answerJson(connection, 200, range(prefix));
+    } else if (target.starts_with("/kv-watch")) {
+        const std::optional<std::string> answer
+            = watch(prefix, std::stoll(queryField(target, "after")),
+                Milliseconds(std::stoll(queryField(target, "waitMs"))));
+        answerJson(connection, answer ? 200 : 410, answer.value_or("{}"));
+    } else if (target.starts_with("/kv-txn")) {
+        answerJson(connection, 200, write(request.body));
+    } else {
+        std::lock_guard lock(m_mutex);
+        m_lastLease += 1;
+        answerJson(connection, 200, Json { { "lease", m_lastLease }, { "ttlMs", 6000 } }.dump());
+    }
+}
+
+} // namespace citronspoke::fakes
--- /dev/null
+++ b/fakes/fleet/FakeHttpServer.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "fleet/Fleet.h"
+#include "http1/Http1.h"
+
+#include <atomic>
+
+namespace citronspoke::fakes {
+
+/** A request as a fake got it. */
+struct FakeRequest {
+    http1::RequestHead head;
+    std::string body;
+
+    /** @return the field's value, empty when absent. */
+    std::string field(std::string_view name) const;
+};
+
+/** One accepted connection, used by a thread of its own. */
+class FakeConnection {
+public:
+    explicit FakeConnection(int descriptor)
+        : m_descriptor(descriptor)
+    {
+    }
+    /** Sends bytes as they are. */
+    void send(std::string_view bytes);
+    /** Sends a whole answer. */
+    void answer(uint32_t status, const http1::Headers& headers, std::string_view body);
+    /** Resets the connection. */
+    void reset();
+    /** Waits until the peer closes. */
+    void waitForClose();
+    bool isOpen() const noexcept { return m_isOpen; }
+    int descriptor() const noexcept { return m_descriptor; }
+
+private:
+    int m_descriptor;
+    bool m_isOpen = true;
+};
+
+/** Serves HTTP on a free port of this machine, one thread for each connection. */
+class FakeHttpServer {
+public:
+    using Handler = std::function<void(const FakeRequest&, FakeConnection&)>;
+
+    explicit FakeHttpServer(Handler handler);
+    ~FakeHttpServer();
+    FakeHttpServer(const FakeHttpServer&) = delete;
+    FakeHttpServer& operator=(const FakeHttpServer&) = delete;
+
+    fleet::Address address() const { return { "127.0.0.1", m_port }; }
+
+private:
+    void acceptAll();
+    void serve(int descriptor);
+
+    Handler m_handler;
+    uint16_t m_port = 0;
+    int m_listener;
+    std::atomic<bool> m_isStopping { false };
+    std::mutex m_mutex;
+    std::vector<int> m_descriptors;
+    std::vector<std::jthread> m_threads;
+    std::jthread m_acceptor;
+};
+
+/** @return a port that was free a moment ago. */
+uint16_t freePort();
+
+} // namespace citronspoke::fakes
--- /dev/null
+++ b/libs/peers/tests/PeersTests.cpp
@@ -0,0 +1,63 @@
+#include "peers/Peers.h"
+
+#include <criterion/criterion.h>
+
+using namespace citronspoke;
+using namespace citronspoke::peers;
+
+Test(updates, survive_the_codec_and_fit_into_packets)
+{
+    Outbox outbox;
+    for (int index = 0; index < 50; ++index) {
+        dispatch::Load load { 3, {}, 4000 };
+        load.promptTokens[2] = 1234;
+        outbox.add(LoadReport { TargetId("i-0123456789-" + std::to_string(index)), load });
+    }
+    outbox.add(PartsReport { TargetId("i-1"), { { "5c1e07a2", 800 }, { "91bd3f06", 410 } } });
+    constexpr size_t PacketBytes = 1400;
+    size_t loads = 0;
+    size_t parts = 0;
+    for (const std::string& datagram : outbox.take(EntryId("g"), UnixMillis(5))) {
+        cr_expect_leq(datagram.size(), PacketBytes);
+        const Update update = decode(datagram);
+        loads += update.loads.size();
+        parts += update.parts.size();
+        for (const LoadReport& report : update.loads)
+            cr_expect(report.load.promptTokens[2] == 1234 && report.load.cacheTokens == 4000);
+    }
+    cr_assert_eq(loads, 50U);
+    cr_assert_eq(parts, 1U);
+    cr_assert(outbox.empty());
+}
+
+Test(updates, old_and_doubled_ones_change_nothing)
+{
+    UpdateOrder order;
+    Update update;
+    update.sender = EntryId("g");
+    update.senderStartedAt = UnixMillis(5);
+    update.number = 2;
+    cr_assert(order.accept(update));
+    cr_assert_not(order.accept(update));
+    update.number = 1;
+    cr_assert_not(order.accept(update));
+    // A restarted sender counts from the beginning.
+    update.senderStartedAt = UnixMillis(6);
+    cr_assert(order.accept(update));
+    update.senderStartedAt = UnixMillis(5);
+    update.number = 9;
+    cr_assert_not(order.accept(update));
+}
+
+Test(updates, bytes_that_are_none_have_a_typed_failure)
+{
+    for (const std::string_view bytes : { "", "\xc1", "text", "\x95\xa1g\x05" }) {
+        bool isRejected = false;
+        try {
+            decode(bytes);
+        } catch (const UpdateUnreadable&) {
+            isRejected = true;
+        }
+        cr_expect(isRejected);
+    }
+}
--- /dev/null
+++ b/libs/settings/tests/PlatformProcessesTests.cpp
@@ -0,0 +1,54 @@
+#include "settings/Settings.h"
+
+#include <criterion/criterion.h>
+
+using namespace citronspoke;
+using namespace citronspoke::settings;
+
+namespace {
+
+const std::string Gateway = "id = \"e\"\nzone = \"z\"\ncallers = \"10.0.0.1:1\"\n"
+                            "readiness = \"10.0.0.1:2\"\noperator = \"10.0.0.1:3\"\n"
+                            "store = \"10.0.0.2:4\"\nstop_grace_s = 8\nretry_share = 0.2\n"
+                            "retry_fixed_part = 58\nretry_window_s = 10\n";
+
+std::vector<Problem> problemsOf(const std::string& text)
+{
+    try {
+        parseGatewaySettings({ "gateway.toml", text });
+    } catch (const SettingsInvalid& invalid) {
+        return { invalid.problems().begin(), invalid.problems().end() };
+    }
+    return {};
+}
+
+} // namespace
+
+Test(gateway_settings, are_read_with_their_units)
+{
+    const GatewaySettings settings = parseGatewaySettings({ "gateway.toml", Gateway });
+    cr_assert(settings.stopGrace == Milliseconds(8000));
+    cr_assert(settings.retries.window == Milliseconds(10000));
+    cr_assert_eq(settings.retries.fixedPart, 58);
+}
+
+Test(gateway_settings, missing_wrong_and_unknown_keys_are_all_named)
+{
+    std::string text = Gateway;
+    text.replace(text.find("10.0.0.1:1"), 10, "nowhere");
+    text.replace(text.find("zone = \"z\"\n"), 11, "");
+    text += "surprise = 1\n";
+    const std::vector<Problem> problems = problemsOf(text);
+    cr_assert_eq(problems.size(), 3U);
+}
+
+Test(gateway_settings, a_file_that_is_missing_has_a_typed_failure)
+{
+    bool isUnreadable = false;
+    try {
+        readFile("/nowhere/settings.toml");
+    } catch (const SettingsUnreadable&) {
+        isUnreadable = true;
+    }
+    cr_assert(isUnreadable);
+}
