Give up servers of our own network that acknowledge nothing for 0.7 s

Change: connections to targets and the store end after 0.7 s without an acknowledgement, those of callers still after two. Ruled out: a time limit for each reading; urgent prompts overtake, so that long waits are no sign of a dead engine.

--- a/libs/channels/src/Connection.cpp
+++ b/libs/channels/src/Connection.cpp
@@ -11,8 +11,10 @@
     using Tcp = asio::ip::tcp;
 
     constexpr size_t ReadBytes = 16384;
-    /** A peer that takes no bytes for so long is gone; shorter than the users' contact bound. */
-    constexpr int UserTimeoutMs = 2000;
+    /** A caller that takes no bytes for so long is gone; shorter than the users' contact bound. */
+    constexpr int CallerTimeoutMs = 2000;
+    /** A server of our own network that takes none: three retransmissions, each after 0.2 s or more. */
+    constexpr int ServerTimeoutMs = 700;
     constexpr int KeepAliveIdleSeconds = 1;
     constexpr int KeepAliveIntervalSeconds = 1;
     constexpr int KeepAliveProbes = 2;
@@ -42,12 +44,12 @@
         }
 
         /** Sets what every connection has; errors mean that the peer has gone meanwhile. */
-        void configure()
+        void configure(int userTimeoutMs)
         {
             asio::error_code ignored;
             m_socket.set_option(Tcp::no_delay(true), ignored);
             m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
-            setOption(TCP_USER_TIMEOUT, UserTimeoutMs);
+            setOption(TCP_USER_TIMEOUT, userTimeoutMs);
             setOption(TCP_KEEPIDLE, KeepAliveIdleSeconds);
             setOption(TCP_KEEPINTVL, KeepAliveIntervalSeconds);
             setOption(TCP_KEEPCNT, KeepAliveProbes);
@@ -115,7 +117,7 @@
             }
             m_isConnecting = false;
             m_connectTimer.cancel();
-            configure();
+            configure(ServerTimeoutMs);
             const std::shared_ptr<TcpConnection> self = shared();
             const std::shared_ptr<Handlers> handlers = m_handlers;
             if (handlers->onConnected)
@@ -245,7 +247,7 @@
                 if (!self->acceptor.is_open())
                     return;
                 if (!error) {
-                    connection->configure();
+                    connection->configure(CallerTimeoutMs);
                     self->handler(connection);
                 }
                 self->accept();
