Use no old entry at an address that another engine has

Change: of two entries with one address only the later one is used; a gateway that meets another target at an address tells the others. Tests: directory/of_two_entries_with_one_address..., directory/what_a_peer_met...

--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr size_t PendingBytes = 64 * 1024;
+    constexpr size_t PendingBytes = size_t { 64 } * 1024;
 
     http1::MessageLimits limitsOf(const GatewayContext& context)
     {
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -146,6 +146,12 @@
     sendSoon();
 }
 
+void PeerGroup::noteReplaced(const TargetId& target)
+{
+    m_outbox.addReplaced(target);
+    sendSoon();
+}
+
 void PeerGroup::noteParts(const TargetId& engine, std::span<const fleet::PromptPart> parts)
 {
     m_outbox.add(peers::PartsReport { engine, { parts.begin(), parts.end() } });
@@ -192,6 +198,8 @@
         const SteadyTime now = steadyNow();
         for (const peers::LoadReport& report : update.loads)
             m_context.directory.notePeerLoad(report.target, update.sender, report.load, now);
+        for (const TargetId& target : update.replaced)
+            m_context.directory.notePeerMetAnother(target, now);
         for (const peers::PartsReport& report : update.parts)
             m_context.noteParts(report.engine, report.parts);
     } catch (const peers::UpdateUnreadable& unreadable) {
--- a/apps/gateway/PeerGroup.h
+++ b/apps/gateway/PeerGroup.h
@@ -18,6 +18,8 @@
     void start();
     /** This gateway's work at a target has changed. */
     void noteLoad(const TargetId& target, const dispatch::Load& load);
+    /** Another target was met at that one's address. */
+    void noteReplaced(const TargetId& target);
     void noteParts(const TargetId& engine, std::span<const fleet::PromptPart> parts);
 
 private:
--- a/apps/gateway/RequestRunAnswers.cpp
+++ b/apps/gateway/RequestRunAnswers.cpp
@@ -103,6 +103,8 @@
         endAttempt(dispatch::AttemptResult::Served);
         break;
     case Outcome::NotExecuted:
+        if (m_attempt->terms.isOtherTarget)
+            m_context.peers->noteReplaced(m_attempt->target.id);
         endAttempt(m_attempt->terms.isOtherTarget ? dispatch::AttemptResult::Replaced
                                                   : dispatch::AttemptResult::Refused);
         break;
--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -228,7 +228,9 @@
     connection.send(http1::composeResponse(200, "OK", headers));
     for (int id = first; id <= last; ++id) {
         const std::string number = std::to_string(id);
-        connection.send(http1::composeChunk("id: " + number + "\ndata: token " + number + "\n\n"));
+        std::string event = "id: ";
+        event.append(number).append("\ndata: token ").append(number).append("\n\n");
+        connection.send(http1::composeChunk(event));
     }
 }
 
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -126,11 +126,16 @@
     size_t size() const noexcept { return m_targets.size(); }
     const std::map<TargetId, TargetState>& targets() const noexcept { return m_targets; }
 
+    /** A peer met another target at that one's address. */
+    void notePeerMetAnother(const TargetId& id, SteadyTime now);
+
     void noteStarted(const TargetId& id, const Load& load);
     void noteFinished(const TargetId& id, const Load& load);
     void noteResult(const TargetId& id, AttemptResult result, SteadyTime now);
 
 private:
+    void settleAddress(const TargetState& newcomer);
+
     std::map<TargetId, TargetState> m_targets;
 };
 
--- a/libs/dispatch/src/TargetDirectory.cpp
+++ b/libs/dispatch/src/TargetDirectory.cpp
@@ -65,9 +65,27 @@
         state.replacedUntil = {};
     state.entry = entry;
     state.mayReturnUntil.reset();
+    settleAddress(state);
     return !isSameLife;
 }
 
+// An address has one target at a time: of two entries the one that came later is alive.
+void TargetDirectory::settleAddress(const TargetState& newcomer)
+{
+    const fleet::Registration registration = newcomer.entry.registration;
+    for (auto& [id, state] : m_targets) {
+        if (state.entry.address == newcomer.entry.address
+            && state.entry.registration < registration)
+            state.replacedUntil = SteadyTime::max();
+    }
+}
+
+void TargetDirectory::notePeerMetAnother(const TargetId& id, SteadyTime now)
+{
+    if (TargetState* state = find(id))
+        state->replacedUntil = std::max(state->replacedUntil, now + OldEntryLifetime);
+}
+
 void TargetDirectory::remove(const TargetId& id, SteadyTime mayReturnUntil, SteadyTime now)
 {
     const auto found = m_targets.find(id);
@@ -175,7 +193,7 @@
         state->avoidUntil = now + avoidanceAfter(state->refusalsInRow - 1);
         return;
     case AttemptResult::Replaced:
-        state->replacedUntil = now + OldEntryLifetime;
+        state->replacedUntil = std::max(state->replacedUntil, now + OldEntryLifetime);
         return;
     case AttemptResult::Failed:
         state->failuresInRow += 1;
--- a/libs/dispatch/tests/TargetDirectoryTests.cpp
+++ b/libs/dispatch/tests/TargetDirectoryTests.cpp
@@ -90,11 +90,35 @@
     cr_assert_eq(directory.usable(Pool, Start).size(), 1U);
 }
 
+Test(directory, of_two_entries_with_one_address_only_the_later_one_is_used)
+{
+    TargetDirectory directory;
+    fleet::TargetEntry older = target("older");
+    older.registration = fleet::Registration(5);
+    fleet::TargetEntry later = target("later");
+    later.registration = fleet::Registration(6);
+    directory.put(older);
+    directory.put(later);
+    const std::vector<TargetState*> usable = directory.usable(Pool, Start);
+    cr_assert_eq(usable.size(), 1U);
+    cr_assert(usable.front()->entry.id == TargetId("later"));
+}
+
+Test(directory, what_a_peer_met_at_an_address_counts)
+{
+    TargetDirectory directory;
+    directory.put(target("a"));
+    directory.notePeerMetAnother(TargetId("a"), Start);
+    cr_assert_eq(directory.usable(Pool, Start).size(), 0U);
+}
+
 Test(choice, goes_to_the_least_loaded_and_comes_to_failing_ones_last)
 {
     TargetDirectory directory;
     directory.put(target("a"));
-    directory.put(target("b"));
+    fleet::TargetEntry second = target("b");
+    second.address.port = 81;
+    directory.put(second);
     directory.noteStarted(TargetId("a"), { 1, {}, 0 });
     const std::vector<TargetState*> states = directory.usable(Pool, Start);
     cr_assert(chooseTarget(states, {}, ZoneId(), 0, Start)->entry.id == TargetId("b"));
--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -32,6 +32,8 @@
     uint64_t number = 0;
     std::vector<LoadReport> loads;
     std::vector<PartsReport> parts;
+    /** Targets at whose addresses the sender met others. */
+    std::vector<TargetId> replaced;
 };
 
 std::string encode(const Update& update);
@@ -43,13 +45,15 @@
 public:
     void add(LoadReport report);
     void add(PartsReport report);
-    bool empty() const noexcept { return m_loads.empty() && m_parts.empty(); }
+    void addReplaced(const TargetId& target) { m_replaced.push_back(target); }
+    bool empty() const noexcept { return m_loads.empty() && m_parts.empty() && m_replaced.empty(); }
     /** @return datagrams that fit into one packet each. */
     std::vector<std::string> take(const EntryId& sender, UnixMillis startedAt);
 
 private:
     std::map<TargetId, dispatch::Load> m_loads;
     std::vector<PartsReport> m_parts;
+    std::vector<TargetId> m_replaced;
     uint64_t m_number = 0;
 };
 
--- a/libs/peers/src/Codec.cpp
+++ b/libs/peers/src/Codec.cpp
@@ -11,7 +11,7 @@
     using PartTuple = std::tuple<std::string, uint32_t>;
     using PartsTuple = std::tuple<std::string, std::vector<PartTuple>>;
     using UpdateTuple = std::tuple<std::string, int64_t, uint64_t, std::vector<LoadTuple>,
-        std::vector<PartsTuple>>;
+        std::vector<PartsTuple>, std::vector<std::string>>;
 
 } // namespace
 
@@ -28,10 +28,13 @@
             list.emplace_back(part.id, part.tokens);
         parts.emplace_back(report.engine.text(), std::move(list));
     }
+    std::vector<std::string> replaced;
+    for (const TargetId& target : update.replaced)
+        replaced.push_back(target.text());
     msgpack::sbuffer buffer;
     msgpack::pack(buffer,
         UpdateTuple(update.sender.text(), update.senderStartedAt.value(), update.number,
-            std::move(loads), std::move(parts)));
+            std::move(loads), std::move(parts), std::move(replaced)));
     return std::string(buffer.data(), buffer.size());
 }
 
@@ -52,6 +55,8 @@
                 report.parts.push_back({ id, tokens });
             update.parts.push_back(std::move(report));
         }
+        for (const std::string& target : std::get<5>(tuple))
+            update.replaced.emplace_back(target);
         return update;
     } catch (const std::exception&) {
         // The library's own failures have no common type below this one.
--- a/libs/peers/src/Outbox.cpp
+++ b/libs/peers/src/Outbox.cpp
@@ -7,6 +7,7 @@
     /** Reports in one datagram; each takes under 100 bytes, so that a packet holds them. */
     constexpr size_t LoadsPerDatagram = 12;
     constexpr size_t PartsPerDatagram = 4;
+    constexpr size_t ReplacedPerDatagram = 8;
 
 } // namespace
 
@@ -19,7 +20,8 @@
     std::vector<std::string> datagrams;
     auto load = m_loads.begin();
     size_t part = 0;
-    while (load != m_loads.end() || part < m_parts.size()) {
+    size_t replaced = 0;
+    while (load != m_loads.end() || part < m_parts.size() || replaced < m_replaced.size()) {
         Update update;
         update.sender = sender;
         update.senderStartedAt = startedAt;
@@ -28,10 +30,14 @@
             update.loads.push_back({ load->first, load->second });
         for (; part < m_parts.size() && update.parts.size() < PartsPerDatagram; ++part)
             update.parts.push_back(std::move(m_parts[part]));
+        for (; replaced < m_replaced.size() && update.replaced.size() < ReplacedPerDatagram;
+             ++replaced)
+            update.replaced.push_back(m_replaced[replaced]);
         datagrams.push_back(encode(update));
     }
     m_loads.clear();
     m_parts.clear();
+    m_replaced.clear();
     return datagrams;
 }
 
