--- a/apps/sidecar/RoleKeeper.cpp
+++ b/apps/sidecar/RoleKeeper.cpp
@@ -38,6 +38,10 @@
               {} })
     , m_roles(loop, m_pool, m_store, { std::string(storefeed::RolePrefix), storefeed::Polling {} },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onRoles(items); }, {} })
+    , m_operator(loop, addressIn(settings.operatorAddress),
+          [](std::string_view) {
+              return channels::PageServer::Page { 200, "text/plain", telemetry::metricsText() };
+          })
     , m_timer(loop)
     , m_startedAt(steadyNow())
 {
@@ -215,6 +219,8 @@
             { "running", std::to_string(report.running) } });
     callEngine(
         adapter::roleOrderCall(order), [this](const std::optional<channels::CallAnswer>& answer) {
+            telemetry::count("orders",
+                { { "status", answer ? std::to_string(answer->status) : "none" } });
             telemetry::logInfo("orders", "The order was answered.",
                 { { "status", answer ? std::to_string(answer->status) : "none" } });
             checkLater(AfterOrder);
--- a/apps/sidecar/RoleKeeper.h
+++ b/apps/sidecar/RoleKeeper.h
@@ -41,6 +41,7 @@
     dispatch::OrderedRoles m_ordered;
     std::map<TargetId, fleet::TargetEntry> m_entries;
     dispatch::RolePlan m_plan;
+    channels::PageServer m_operator;
     channels::Timer m_timer;
     std::shared_ptr<void> m_call;
     std::optional<EngineRole> m_wanted;
