Prefer engines that are near and connected among equals

Change: an engine without an idle connection costs as much as 400 tokens more, one in another zone 200.

--- a/apps/gateway/RequestRun.cpp
+++ b/apps/gateway/RequestRun.cpp
@@ -170,7 +170,11 @@
         = m_context.enginesInRole(m_pool->id, EngineRole::Prefill);
     const std::vector<dispatch::TargetState*> holders
         = m_context.directory.present(m_pool->id, steadyNow());
-    const dispatch::PromptGoal goal { m_route->priority, m_route->latencyObjective - age() };
+    for (dispatch::TargetState* state : states)
+        state->isConnected
+            = m_context.targets.hasIdle({ state->entry.address, state->entry.id.text() });
+    const dispatch::PromptGoal goal { m_route->priority, m_route->latencyObjective - age(),
+        m_context.zone };
     const dispatch::PromptPlacement placement
         = dispatch::placePrompt(states, holders, *m_terms.prompt, goal, m_context.ledger,
             m_context.readSpeeds[m_pool->id], m_avoided, steadyNow());
--- a/apps/sidecar/RoleKeeper.cpp
+++ b/apps/sidecar/RoleKeeper.cpp
@@ -219,8 +219,8 @@
             { "running", std::to_string(report.running) } });
     callEngine(
         adapter::roleOrderCall(order), [this](const std::optional<channels::CallAnswer>& answer) {
-            telemetry::count("orders",
-                { { "status", answer ? std::to_string(answer->status) : "none" } });
+            telemetry::count(
+                "orders", { { "status", answer ? std::to_string(answer->status) : "none" } });
             telemetry::logInfo("orders", "The order was answered.",
                 { { "status", answer ? std::to_string(answer->status) : "none" } });
             checkLater(AfterOrder);
--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -177,6 +177,8 @@
      */
     ExchangePointer start(const PeerKey& peer, std::string request, Milliseconds oldestIdle,
         Exchange::Handlers handlers);
+    /** @return whether an idle connection to a peer is kept. */
+    bool hasIdle(const PeerKey& peer) const;
     /** Closes the idle connections to a peer. */
     void forget(const PeerKey& peer);
     /** @return connections established so far. */
--- a/libs/channels/src/Connection.cpp
+++ b/libs/channels/src/Connection.cpp
@@ -13,7 +13,8 @@
     constexpr size_t ReadBytes = 16384;
     /** A caller that takes no bytes for so long is gone; shorter than the users' contact bound. */
     constexpr int CallerTimeoutMs = 2000;
-    /** A server of our own network that takes none: three retransmissions, each after 0.2 s or more. */
+    /** A server of our own network that takes none: three retransmissions, each after 0.2 s or
+     * more. */
     constexpr int ServerTimeoutMs = 700;
     constexpr int KeepAliveIdleSeconds = 1;
     constexpr int KeepAliveIntervalSeconds = 1;
--- a/libs/channels/src/ConnectionPool.cpp
+++ b/libs/channels/src/ConnectionPool.cpp
@@ -299,6 +299,15 @@
     return exchange;
 }
 
+bool ConnectionPool::hasIdle(const PeerKey& peer) const
+{
+    const auto found = m_implementation->idle.find(peer);
+    if (found == m_implementation->idle.end() || found->second.empty())
+        return false;
+    const PooledConnection& newest = *found->second.back();
+    return steadyNow() - newest.idleSince < newest.idleLifetime;
+}
+
 void ConnectionPool::forget(const PeerKey& peer)
 {
     const auto found = m_implementation->idle.find(peer);
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -82,6 +82,8 @@
     Load own;
     /** Work of the other entries, as they last said. */
     std::map<EntryId, PeerLoad> peers;
+    /** Work can be sent without a new connection. */
+    bool isConnected = false;
     uint32_t failuresInRow = 0;
     uint32_t refusalsInRow = 0;
     /** No work before this time, unless there is no other target. */
@@ -220,6 +222,8 @@
     uint32_t priority = 0;
     /** Until the answer has to begin. */
     Milliseconds timeLeft { 0 };
+    /** Where the request came in. */
+    ZoneId zone;
 };
 
 /**
--- a/libs/dispatch/src/PromptPlacement.cpp
+++ b/libs/dispatch/src/PromptPlacement.cpp
@@ -97,6 +97,10 @@
     constexpr uint32_t LowestRank = LateUrgency / SizesPerRank - 1;
     /** What is less urgent hardly delays a prompt, but will fill the engine after it. */
     constexpr double LessUrgentShare = 0.1;
+    /** New connections and bytes between zones are dear; each is worth some milliseconds of
+     * reading. */
+    constexpr double NewConnectionTokens = 400;
+    constexpr double OtherZoneTokens = 200;
 
     Urgency urgencyOf(const PromptGoal& goal, Milliseconds readTime)
     {
@@ -141,6 +145,8 @@
             + FetchCostShare * static_cast<double>(start - std::min(start, held));
         if (home && reader != home && held < shared)
             cost += static_cast<double>(shared - std::min(shared, start));
+        cost += reader->isConnected ? 0 : NewConnectionTokens;
+        cost += reader->entry.zone == goal.zone ? 0 : OtherZoneTokens;
         const std::tuple<bool, double> rank(reader->avoidUntil > now, cost);
         if (best.engine && rank >= bestRank)
             continue;
--- a/libs/dispatch/tests/PromptPlacementTests.cpp
+++ b/libs/dispatch/tests/PromptPlacementTests.cpp
@@ -10,7 +10,7 @@
 const PoolId Pool("engines");
 const SteadyTime Now { std::chrono::hours(1) };
 constexpr uint64_t Capacity = 450000;
-constexpr PromptGoal Relaxed { 2, Milliseconds(800) };
+const PromptGoal Relaxed { 2, Milliseconds(800), ZoneId() };
 
 /** A pool of engines that read prompts, and what the entries know of them. */
 struct Fleet {
@@ -128,7 +128,8 @@
     Fleet fleet(2);
     for (int request = 0; request < 4; ++request)
         fleet.send(prompt("huge-" + std::to_string(request), 10, 15000));
-    const PromptPlacement lookup = fleet.place(prompt("", 0, 900), { 0, Milliseconds(500) });
+    const PromptPlacement lookup
+        = fleet.place(prompt("", 0, 900), { 0, Milliseconds(500), ZoneId() });
     cr_assert_lt(lookup.urgency, Urgency(3));
     cr_assert_eq(lookup.tokensAhead, 0U);
 }
@@ -170,6 +171,22 @@
         cr_expect_eq(sum, 20000U);
 }
 
+Test(placement, stays_near_and_connected_unless_another_engine_is_clearly_sooner_done)
+{
+    Fleet fleet(3);
+    for (const char* id : { "engine-0", "engine-1" })
+        fleet.directory.find(TargetId(id))->isConnected = true;
+    fleet::TargetEntry far = fleet.directory.find(TargetId("engine-0"))->entry;
+    far.zone = ZoneId("far");
+    fleet.directory.put(far);
+    cr_assert(fleet.place(prompt("", 0, 100)).engine->entry.id == TargetId("engine-1"));
+    fleet.load(TargetId("engine-1"), 0, 300);
+    cr_assert(fleet.place(prompt("", 0, 100)).engine->entry.id == far.id);
+    fleet.load(far.id, 0, 5000);
+    fleet.load(TargetId("engine-1"), 0, 5000);
+    cr_assert(fleet.place(prompt("", 0, 100)).engine->entry.id == TargetId("engine-2"));
+}
+
 Test(placement, falls_back_to_failing_engines_only_without_others)
 {
     Fleet fleet(2);
