One main for both programs, one type for a port in use, linter's names mended

Cause: the look for code that stands twice: the programs' mains, ListenFailed in two libraries, the reading of addresses; clang-tidy named five copies and reservations. Change: apps/programs runs a program, the kernel has ListenFailed, fleet has the check of addresses. No change of behaviour.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -19,13 +19,6 @@
     /** Left for the end of the process before it would be killed. */
     constexpr Milliseconds ExitMargin { 400 };
 
-    fleet::Address addressIn(const std::string& text)
-    {
-        const std::optional<fleet::Address> address = fleet::parseAddress(text);
-        require(address.has_value(), "settings hold addresses IP:PORT");
-        return *address;
-    }
-
     channels::ConnectionPool::Options storeOptions()
     {
         channels::ConnectionPool::Options options;
@@ -39,7 +32,7 @@
     : m_loop(loop)
     , m_context(loop, settings)
     , m_storePool(loop, storeOptions())
-    , m_declarations(loop, m_storePool, addressIn(settings.store),
+    , m_declarations(loop, m_storePool, fleet::requireAddress(settings.store),
           { std::string(adapter::DeclarationPrefix),
               storefeed::Watching { WatchWait, Milliseconds(0) } },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime) {
@@ -51,7 +44,7 @@
                       = std::get_if<adapter::KeyWritten>(&change))
                       onDeclaration(written->item);
               } })
-    , m_targets(loop, m_storePool, addressIn(settings.store),
+    , m_targets(loop, m_storePool, fleet::requireAddress(settings.store),
           { std::string(adapter::TargetPrefix), storefeed::Watching { WatchWait, GatherPause } },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime mayReturnUntil) {
                onTargets(items, mayReturnUntil);
@@ -59,18 +52,18 @@
               [this](const adapter::KeyChange& change, SteadyTime mayReturnUntil) {
                   onTargetChange(change, mayReturnUntil);
               } })
-    , m_roles(loop, m_storePool, addressIn(settings.store),
+    , m_roles(loop, m_storePool, fleet::requireAddress(settings.store),
           { std::string(storefeed::RolePrefix),
               storefeed::Watching { RoleWatchWait, Milliseconds(0) } },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onRoles(items); },
               [this](const adapter::KeyChange& change, SteadyTime) { onRoleChange(change); } })
-    , m_peers(
-          m_context, m_storePool, addressIn(settings.store), addressIn(settings.operatorAddress))
-    , m_listener(std::make_unique<channels::Listener>(loop, addressIn(settings.callers),
+    , m_peers(m_context, m_storePool, fleet::requireAddress(settings.store),
+          fleet::requireAddress(settings.operatorAddress))
+    , m_listener(std::make_unique<channels::Listener>(loop, fleet::requireAddress(settings.callers),
           [this](channels::ConnectionPointer connection) { accept(std::move(connection)); }))
-    , m_readiness(loop, addressIn(settings.readiness),
+    , m_readiness(loop, fleet::requireAddress(settings.readiness),
           [this](std::string_view) { return answerReadiness(); })
-    , m_operator(loop, addressIn(settings.operatorAddress),
+    , m_operator(loop, fleet::requireAddress(settings.operatorAddress),
           [](std::string_view) {
               return channels::PageServer::Page { 200, "text/plain", telemetry::metricsText() };
           })
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -1,15 +1,9 @@
 #include "Gateway.h"
+#include "Program.h"
 #include "telemetry/Telemetry.h"
 
-#include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 #include <array>
 #include <csignal>
-#include <iostream>
-
-ABSL_FLAG(std::string, settings, "", "The process's settings file (TOML).");
-ABSL_FLAG(bool, verbose, false, "Log debug messages too.");
 
 namespace {
 
@@ -47,22 +41,4 @@
 
 } // namespace
 
-int main(int argc, char** argv)
-{
-    absl::SetProgramUsageMessage("The citronspoke gateway on an entry VM.\n"
-                                 "  citronspoke-gateway --settings=FILE\n"
-                                 "Without the flag, CITRONSPOKE_SETTINGS names the file.");
-    absl::ParseCommandLine(argc, argv);
-    std::signal(SIGPIPE, SIG_IGN);
-    telemetry::configureLogging(absl::GetFlag(FLAGS_verbose));
-    int status = 0;
-    try {
-        serve(settings::settingsPath(absl::GetFlag(FLAGS_settings)));
-    } catch (const Error& error) {
-        telemetry::logError("gateway", "Ended by a failure.", { { "cause", error.describe() } });
-        std::cerr << "citronspoke-gateway: " << error.describe() << '\n';
-        status = 1;
-    }
-    telemetry::finishLogging();
-    return status;
-}
+int main(int argc, char** argv) { return citronspoke::runProgram(argc, argv, "gateway", serve); }
--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -219,6 +219,14 @@
     connection.answer(503, headers, "");
 }
 
+std::string eventText(int id)
+{
+    const std::string number = std::to_string(id);
+    std::string event = "id: ";
+    event.append(number).append("\ndata: token ").append(number).append("\n\n");
+    return event;
+}
+
 void sendEvents(
     const fakes::FakeRequest& request, fakes::FakeConnection& connection, int first, int last)
 {
@@ -226,12 +234,8 @@
     headers.add("Content-Type", "text/event-stream");
     headers.add("Transfer-Encoding", "chunked");
     connection.send(http1::composeResponse(200, "OK", headers));
-    for (int id = first; id <= last; ++id) {
-        const std::string number = std::to_string(id);
-        std::string event = "id: ";
-        event.append(number).append("\ndata: token ").append(number).append("\n\n");
-        connection.send(http1::composeChunk(event));
-    }
+    for (int id = first; id <= last; ++id)
+        connection.send(http1::composeChunk(eventText(id)));
 }
 
 } // namespace citronspoke::gateway::tests
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -111,6 +111,8 @@
     std::string_view body = "ok");
 /** Says that the request was not run. */
 void refuseUnrun(const fakes::FakeRequest& request, fakes::FakeConnection& connection);
+/** @return one event of a stream. */
+std::string eventText(int id);
 /** Sends the head of a signed stream and its events with these ids, without the stream's end. */
 void sendEvents(
     const fakes::FakeRequest& request, fakes::FakeConnection& connection, int first, int last);
--- a/apps/gateway/tests/StreamTests.cpp
+++ b/apps/gateway/tests/StreamTests.cpp
@@ -17,10 +17,8 @@
 std::string eventsText(int first, int last)
 {
     std::string text;
-    for (int id = first; id <= last; ++id) {
-        const std::string number = std::to_string(id);
-        text += "id: " + number + "\ndata: token " + number + "\n\n";
-    }
+    for (int id = first; id <= last; ++id)
+        text += eventText(id);
     return text;
 }
 
--- a/apps/sidecar/RoleKeeper.cpp
+++ b/apps/sidecar/RoleKeeper.cpp
@@ -18,27 +18,20 @@
     /** An order without an answer may still be carried out; the engine is asked after this. */
     constexpr Milliseconds AfterOrder { 4000 };
 
-    fleet::Address addressIn(const std::string& text)
-    {
-        const std::optional<fleet::Address> address = fleet::parseAddress(text);
-        require(address.has_value(), "settings hold addresses IP:PORT");
-        return *address;
-    }
-
 } // namespace
 
 RoleKeeper::RoleKeeper(channels::EventLoop& loop, const settings::SidecarSettings& settings)
     : m_loop(loop)
     , m_settings(settings)
-    , m_engine(addressIn(settings.engine))
-    , m_store(addressIn(settings.store))
+    , m_engine(fleet::requireAddress(settings.engine))
+    , m_store(fleet::requireAddress(settings.store))
     , m_pool(loop, {})
     , m_feed(loop, m_pool, m_store, { std::string(adapter::TargetPrefix), storefeed::Polling {} },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onTargets(items); },
               {} })
     , m_roles(loop, m_pool, m_store, { std::string(storefeed::RolePrefix), storefeed::Polling {} },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onRoles(items); }, {} })
-    , m_operator(loop, addressIn(settings.operatorAddress),
+    , m_operator(loop, fleet::requireAddress(settings.operatorAddress),
           [](std::string_view) {
               return channels::PageServer::Page { 200, "text/plain", telemetry::metricsText() };
           })
--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -10,24 +10,7 @@
 /** One event loop with its timers, TCP connections, and HTTP exchanges over kept connections. */
 namespace citronspoke::channels {
 
-/** A port could not be opened, most often because another process has it. */
-class ListenFailed final : public Error {
-public:
-    ListenFailed(std::string_view address, std::string_view cause)
-        : m_address(address)
-        , m_cause(cause)
-    {
-    }
-    std::string_view kind() const noexcept override { return "listen_failed"; }
-    std::string describe() const override
-    {
-        return "Cannot listen on " + m_address + ": " + m_cause + ".";
-    }
-
-private:
-    std::string m_address;
-    std::string m_cause;
-};
+using citronspoke::ListenFailed;
 
 /** Runs callbacks of one thread. Everything else here is used on that thread only. */
 class EventLoop {
--- a/libs/channels/src/PageServer.cpp
+++ b/libs/channels/src/PageServer.cpp
@@ -60,12 +60,12 @@
 struct PageServer::Implementation {
     Implementation(EventLoop& loop, const fleet::Address& address, Handler given)
         : handler(std::move(given))
-        , listener(loop, address,
-              [this](ConnectionPointer connection) { accept(std::move(connection)); })
+        , listener(
+              loop, address, [this](const ConnectionPointer& connection) { accept(connection); })
     {
     }
 
-    void accept(ConnectionPointer connection)
+    void accept(const ConnectionPointer& connection)
     {
         const std::shared_ptr<PageConnection> page
             = std::make_shared<PageConnection>(connection, handler);
--- a/libs/dispatch/tests/RolePlanTests.cpp
+++ b/libs/dispatch/tests/RolePlanTests.cpp
@@ -36,6 +36,7 @@
 Test(roles, makers_are_spread_over_zones)
 {
     std::vector<fleet::TargetEntry> engines;
+    engines.reserve(12);
     for (int index = 0; index < 12; ++index)
         engines.push_back(engine(std::string(1, static_cast<char>('a' + index)), EngineRole::Decode,
             1, index < 6 ? "zone-a" : "zone-b"));
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -19,6 +19,8 @@
 
 /** @return the address in "IP:PORT"; none when it is not one. */
 std::optional<Address> parseAddress(std::string_view text);
+/** The same for text that was checked before. @throws PreconditionViolated */
+Address requireAddress(std::string_view text);
 
 /** Whether, and how, a request may be repeated. */
 enum class Repeatability : uint8_t { Idempotent, AtMostOnce, Stream };
--- a/libs/fleet/src/Fleet.cpp
+++ b/libs/fleet/src/Fleet.cpp
@@ -20,6 +20,13 @@
     return address;
 }
 
+Address requireAddress(std::string_view text)
+{
+    const std::optional<Address> address = parseAddress(text);
+    require(address.has_value(), "an address IP:PORT");
+    return *address;
+}
+
 const PoolTraits* Declaration::pool(const PoolId& id) const
 {
     const auto found = std::find_if(
--- a/libs/kernel/include/kernel/Kernel.h
+++ b/libs/kernel/include/kernel/Kernel.h
@@ -47,6 +47,25 @@
         throw PreconditionViolated(text);
 }
 
+/** A port could not be opened, most often because another process has it. */
+class ListenFailed final : public Error {
+public:
+    ListenFailed(std::string_view address, std::string_view cause)
+        : m_address(address)
+        , m_cause(cause)
+    {
+    }
+    std::string_view kind() const noexcept override { return "listen_failed"; }
+    std::string describe() const override
+    {
+        return "Cannot listen on " + m_address + ": " + m_cause + ".";
+    }
+
+private:
+    std::string m_address;
+    std::string m_cause;
+};
+
 /** No service of that name is registered, or it is of another type. */
 class ServiceNotFound final : public Error {
 public:
--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -43,7 +43,7 @@
 /** Collects what has changed until it is sent. Later loads replace earlier ones. */
 class Outbox {
 public:
-    void add(LoadReport report);
+    void add(const LoadReport& report);
     void add(PartsReport report);
     void addReplaced(const TargetId& target) { m_replaced.push_back(target); }
     bool empty() const noexcept { return m_loads.empty() && m_parts.empty() && m_replaced.empty(); }
--- a/libs/peers/src/Outbox.cpp
+++ b/libs/peers/src/Outbox.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-void Outbox::add(LoadReport report) { m_loads[report.target] = report.load; }
+void Outbox::add(const LoadReport& report) { m_loads[report.target] = report.load; }
 
 void Outbox::add(PartsReport report) { m_parts.push_back(std::move(report)); }
 
--- a/libs/storefeed/include/storefeed/StoreFeed.h
+++ b/libs/storefeed/include/storefeed/StoreFeed.h
@@ -54,7 +54,7 @@
     bool isConnected() const noexcept { return m_failures == 0 && m_lastAnswer.has_value(); }
 
 private:
-    void readPage(std::string after);
+    void readPage(std::string_view after);
     void onPage(const std::optional<channels::CallAnswer>& answer);
     void goOn();
     void watch(const Watching& watching);
--- a/libs/storefeed/src/StoreFeed.cpp
+++ b/libs/storefeed/src/StoreFeed.cpp
@@ -57,7 +57,7 @@
         });
 }
 
-void StoreFeed::readPage(std::string after)
+void StoreFeed::readPage(std::string_view after)
 {
     if (after.empty())
         m_items.clear();
--- a/libs/transport/include/transport/Transport.h
+++ b/libs/transport/include/transport/Transport.h
@@ -7,24 +7,7 @@
 /** How processes talk: mailboxes among ourselves, HTTP towards everybody else. */
 namespace citronspoke::transport {
 
-/** A port could not be opened, most often because another process has it. */
-class ListenFailed final : public Error {
-public:
-    ListenFailed(std::string_view address, std::string_view cause)
-        : m_address(address)
-        , m_cause(cause)
-    {
-    }
-    std::string_view kind() const noexcept override { return "listen_failed"; }
-    std::string describe() const override
-    {
-        return "Cannot listen on " + m_address + ": " + m_cause + ".";
-    }
-
-private:
-    std::string m_address;
-    std::string m_cause;
-};
+using citronspoke::ListenFailed;
 
 /** An HTTP call got no answer. */
 class HttpFailed final : public Error {
