--- a/apps/gateway/Durations.h
+++ b/apps/gateway/Durations.h
@@ -13,4 +13,12 @@
 /** @return the count of milliseconds, as log lines show it. */
 inline std::string text(Milliseconds duration) { return std::to_string(duration.count()); }
 
+/** @return the duration in seconds with three decimals. */
+inline std::string secondsText(Milliseconds duration)
+{
+    constexpr int64_t MsPerSecond = 1000;
+    const std::string fraction = std::to_string(MsPerSecond + duration.count() % MsPerSecond);
+    return std::to_string(duration.count() / MsPerSecond) + "." + fraction.substr(1);
+}
+
 } // namespace citronspoke::gateway
--- a/apps/gateway/RequestRun.cpp
+++ b/apps/gateway/RequestRun.cpp
@@ -51,13 +51,6 @@
         }
     }
 
-    std::string secondsText(Milliseconds duration)
-    {
-        constexpr int64_t MsPerSecond = 1000;
-        const std::string fraction = std::to_string(MsPerSecond + duration.count() % MsPerSecond);
-        return std::to_string(duration.count() / MsPerSecond) + "." + fraction.substr(1);
-    }
-
 } // namespace
 
 RequestRun::RequestRun(GatewayContext& context, ReceivedRequest request, AnswerWriter& writer)
--- a/libs/dispatch/src/RouteTable.cpp
+++ b/libs/dispatch/src/RouteTable.cpp
@@ -12,7 +12,7 @@
         m_byHost[routes[index].host].push_back(index);
     for (auto& [host, indices] : m_byHost) {
         std::stable_sort(indices.begin(), indices.end(), [&routes](size_t left, size_t right) {
-            return routes[left].pathPrefix.size() > routes[right].pathPrefix.size();
+            return routes[left].prefix.size() > routes[right].prefix.size();
         });
     }
 }
@@ -25,7 +25,7 @@
     path = path.substr(0, path.find('?'));
     for (const size_t index : found->second) {
         const fleet::Route& route = m_declaration.routes[index];
-        if (path.starts_with(route.pathPrefix))
+        if (path.starts_with(route.prefix))
             return &route;
     }
     return nullptr;
--- a/libs/dispatch/tests/RouteTableTests.cpp
+++ b/libs/dispatch/tests/RouteTableTests.cpp
@@ -12,7 +12,7 @@
     fleet::Route made;
     made.name = name;
     made.host = host;
-    made.pathPrefix = prefix;
+    made.prefix = prefix;
     made.pools = { { PoolId("one"), 90 }, { PoolId("two"), 10 } };
     return made;
 }
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -35,7 +35,8 @@
 struct Route {
     std::string name;
     std::string host;
-    std::string pathPrefix;
+    /** The start of the paths that the route serves. */
+    std::string prefix;
     Repeatability repeatability = Repeatability::AtMostOnce;
     /** The longest time that a caller is kept waiting. */
     Milliseconds timeout { 0 };
