Stop requests that crash their targets after three, at all gateways

Cause: the users' rules stop a request that crashes each engine that runs it after three engines, everywhere; the gateway knew only its own attempt's limit, so that a caller who came again crashed two more engines each time. Ruled out: convicting on each reset (a connection can be reset while its target lives, so three different targets must break and a run to the end clears a suspect); the store as carrier (a write for each broken run, against a datagram that goes anyway). Change: CrashWatch names a request by method, host, path, prompt parts and body; CrashLedger with a threshold; crashes and cleared suspects travel in the gateways' datagrams, verdicts are repeated. Convicted requests are refused at once with the time left of the verdict.

--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashWatch.h"
 #include "dispatch/Dispatch.h"
 #include "settings/Settings.h"
 #include "storefeed/StoreFeed.h"
@@ -23,6 +24,8 @@
     std::map<PoolId, dispatch::ReadSpeed> readSpeeds;
     dispatch::OrderedRoles orderedRoles;
     dispatch::RetryAllowance retries;
+    /** Requests that may crash the targets that run them. */
+    CrashWatch crashes;
     /** None until the operators' declaration is known. */
     std::shared_ptr<const dispatch::RouteTable> routes;
     /** When the declaration was last known to be the newest. */
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -40,9 +40,17 @@
 
 void PeerGroup::start()
 {
+    m_context.crashes.tellBy({ [this](peers::CrashReport report) {
+                                  m_outbox.add(std::move(report));
+                                  sendSoon();
+                              },
+        [this](uint64_t fingerprint) {
+            m_outbox.addCleared(fingerprint);
+            sendSoon();
+        } });
     m_feed.start();
     announce();
-    m_repeatTimer.arm(RepeatInterval, [this] { repeatLoads(); });
+    m_repeatTimer.arm(RepeatInterval, [this] { repeatReports(); });
 }
 
 void PeerGroup::callStore(const adapter::Call& call, channels::CallHandler handler)
@@ -177,16 +185,20 @@
     }
 }
 
-void PeerGroup::repeatLoads()
+void PeerGroup::repeatReports()
 {
     for (const auto& [id, state] : m_context.directory.targets()) {
         if (state.own != dispatch::Load {})
             noteLoad(id, state.own);
     }
+    for (peers::CrashReport& report : m_context.crashes.takeRepeats()) {
+        m_outbox.add(std::move(report));
+        sendSoon();
+    }
     // Counts that are no longer in force fade out here when no gateway comes or goes.
     if (m_recentCounts.size() > 1)
         updateCount();
-    m_repeatTimer.arm(RepeatInterval, [this] { repeatLoads(); });
+    m_repeatTimer.arm(RepeatInterval, [this] { repeatReports(); });
 }
 
 void PeerGroup::onDatagram(std::string_view datagram)
@@ -202,6 +214,10 @@
             m_context.directory.notePeerMetAnother(target, now);
         for (const peers::PartsReport& report : update.parts)
             m_context.noteParts(report.engine, report.parts);
+        for (const peers::CrashReport& report : update.crashes)
+            m_context.crashes.merge(report);
+        for (const uint64_t fingerprint : update.cleared)
+            m_context.crashes.mergeCleared(fingerprint);
     } catch (const peers::UpdateUnreadable& unreadable) {
         telemetry::logWarning("peers", unreadable.describe());
     }
--- a/apps/gateway/PeerGroup.h
+++ b/apps/gateway/PeerGroup.h
@@ -33,7 +33,7 @@
     void callStore(const adapter::Call& call, channels::CallHandler handler);
     void sendSoon();
     void sendUpdates();
-    void repeatLoads();
+    void repeatReports();
     void onDatagram(std::string_view datagram);
 
     GatewayContext& m_context;
--- a/apps/gateway/RequestRun.cpp
+++ b/apps/gateway/RequestRun.cpp
@@ -73,6 +73,11 @@
     }
     if (!findRoute())
         return;
+    m_fingerprint = CrashWatch::fingerprintOf(m_request.head, m_request.body, m_terms.prompt);
+    if (const std::optional<Milliseconds> ban = m_context.crashes.bannedFor(m_fingerprint)) {
+        refuse(Unavailable, "it has crashed its targets", *ban);
+        return;
+    }
     Milliseconds limit = m_route->timeout;
     if (m_terms.timeLeft)
         limit = std::min(limit, *m_terms.timeLeft);
@@ -287,6 +292,8 @@
 {
     if (m_attempts >= MostAttempts)
         obstacle = "too many attempts";
+    else if (m_context.crashes.bannedFor(m_fingerprint))
+        obstacle = "it has crashed its targets";
     else if (m_ranOn.size() >= m_route->targetLimit)
         obstacle = "the route's limit of targets";
     else if (timeLeft() < ShortestAttempt)
--- a/apps/gateway/RequestRun.h
+++ b/apps/gateway/RequestRun.h
@@ -110,6 +110,8 @@
     ReceivedRequest m_request;
     AnswerWriter* m_writer;
     adapter::CallerTerms m_terms;
+    /** The same for each attempt of the caller at the same work. */
+    uint64_t m_fingerprint = 0;
     std::shared_ptr<const dispatch::RouteTable> m_routes;
     const fleet::Route* m_route = nullptr;
     const fleet::PoolTraits* m_pool = nullptr;
--- a/apps/gateway/RequestRunAnswers.cpp
+++ b/apps/gateway/RequestRunAnswers.cpp
@@ -73,6 +73,11 @@
             { "outcome", std::string(Names[static_cast<size_t>(outcome)]) },
             { "status", std::to_string(m_attempt->head ? m_attempt->head->status : 0) },
             { "took_ms", text(since(m_attempt->startedAt)) } });
+    const bool isRun = m_attempt->step != Step::ReadPrompt;
+    if (isRun && outcome == Outcome::Unknown && end == channels::ExchangeEnd::Broken)
+        m_context.crashes.noteBroken(m_fingerprint, m_attempt->target);
+    if (isRun && (outcome == Outcome::Served || outcome == Outcome::FailedByTarget))
+        m_context.crashes.noteRun(m_fingerprint);
     afterAttempt(outcome);
 }
 
--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-    constexpr std::string_view HostName = "site.example";
-
     http1::Headers signedHeaders(const fakes::FakeRequest& request)
     {
         http1::Headers headers;
@@ -38,27 +36,12 @@
 
 void GatewayFixture::addRoute(const std::string& prefix, const RouteOptions& options)
 {
-    m_routes.push_back({ { "name", "r" + prefix }, { "hostname", HostName },
-        { "pathPrefix", prefix }, { "routeKind", options.kind }, { "timeoutMs", options.timeoutMs },
-        { "targetLatencyMs", 500 }, { "priority", 1 }, { "service", options.service },
-        { "maxAttempts", options.attempts }, { "sticky", options.carriesPrompts },
-        { "resumable", options.isResumable }, { "targetGapMs", 300 } });
+    m_routes.push_back(fakes::routeDocument(prefix, options));
 }
 
 void GatewayFixture::declare(int version)
 {
-    const nlohmann::json engine { { "slots", 64 }, { "kvCapacity", 400000 }, { "kvBytes", 18432 },
-        { "kvHoldS", 5.0 }, { "switchS", 3.0 } };
-    const nlohmann::json services { { { "name", "app" }, { "healthPath", "/healthz" },
-                                        { "maxConns", 100 } },
-        { { "name", "llm" }, { "healthPath", "/healthz" }, { "maxConns", 100 },
-            { "engine", engine } } };
-    const nlohmann::json declaration { { "version", version }, { "routes", m_routes },
-        { "services", services },
-        { "limits",
-            { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 65536 }, { "headerTimeoutMs", 3000 },
-                { "idleTimeoutMs", 15000 } } } };
-    m_store.put("op/config", declaration.dump());
+    m_store.put("op/config", fakes::declarationText(version, m_routes));
 }
 
 void GatewayFixture::addTarget(
@@ -73,12 +56,8 @@
             }
             script(request, connection);
         }));
-    nlohmann::json entry { { "service", service },
-        { "address", m_targets.back()->address().text() }, { "zone", "zone-a" }, { "slots", 4 },
-        { "state", "ready" }, { "seq", 1 } };
-    if (!role.empty())
-        entry["phase"] = role;
-    m_store.put("servers/" + id, entry.dump());
+    m_store.put(
+        "servers/" + id, fakes::entryText(service, m_targets.back()->address().text(), role));
 }
 
 void GatewayFixture::start()
@@ -191,7 +170,7 @@
 std::string requestText(const std::string& method, const std::string& path,
     const std::string& attempt, const std::string& extraLines, const std::string& body)
 {
-    std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + std::string(HostName);
+    std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + std::string(fakes::RouteHost);
     text += "\r\nX-Attempt-Id: " + attempt + "\r\nX-Deadline-Ms: 20000\r\n" + extraLines;
     if (!body.empty())
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -1,21 +1,12 @@
 #pragma once
 
+#include "FakeDocuments.h"
 #include "FakeFleetStore.h"
 #include "Gateway.h"
 
-#include <nlohmann/json.hpp>
-
 namespace citronspoke::gateway::tests {
 
-/** What a route of the fake declaration may set. */
-struct RouteOptions {
-    std::string kind = "idempotent";
-    std::string service = "app";
-    int timeoutMs = 3000;
-    int attempts = 2;
-    bool isResumable = false;
-    bool carriesPrompts = false;
-};
+using fakes::RouteOptions;
 
 /** A request that a fake target got. */
 struct SeenRequest {
--- /dev/null
+++ b/fakes/fleet/FakeDocuments.cpp
@@ -0,0 +1,40 @@
+#include "FakeDocuments.h"
+
+namespace citronspoke::fakes {
+
+using Json = nlohmann::json;
+
+Json routeDocument(const std::string& prefix, const RouteOptions& options)
+{
+    return { { "name", "r" + prefix }, { "hostname", RouteHost }, { "pathPrefix", prefix },
+        { "routeKind", options.kind }, { "timeoutMs", options.timeoutMs },
+        { "targetLatencyMs", 500 }, { "priority", 1 }, { "service", options.service },
+        { "maxAttempts", options.attempts }, { "sticky", options.carriesPrompts },
+        { "resumable", options.isResumable }, { "targetGapMs", 300 } };
+}
+
+std::string declarationText(int version, const Json& routes)
+{
+    const Json engine { { "slots", 64 }, { "kvCapacity", 400000 }, { "kvBytes", 18432 },
+        { "kvHoldS", 5.0 }, { "switchS", 3.0 } };
+    const Json services { { { "name", "app" }, { "healthPath", "/healthz" }, { "maxConns", 100 } },
+        { { "name", "llm" }, { "healthPath", "/healthz" }, { "maxConns", 100 },
+            { "engine", engine } } };
+    const Json limits { { "maxHeaderBytes", 4096 }, { "maxBodyBytes", 65536 },
+        { "headerTimeoutMs", 3000 }, { "idleTimeoutMs", 15000 } };
+    return Json {
+        { "version", version }, { "routes", routes }, { "services", services }, { "limits", limits }
+    }.dump();
+}
+
+std::string entryText(const std::string& service, const std::string& address,
+    const std::string& role, const std::string& state)
+{
+    Json entry { { "service", service }, { "address", address }, { "zone", "zone-a" },
+        { "slots", 4 }, { "state", state }, { "seq", 1 } };
+    if (!role.empty())
+        entry["phase"] = role;
+    return entry.dump();
+}
+
+} // namespace citronspoke::fakes
--- a/libs/decisions/include/decisions/Decisions.h
+++ b/libs/decisions/include/decisions/Decisions.h
@@ -140,7 +140,7 @@
 
 /**
  * Which requests were running when targets crashed. A suspect runs as the only suspect on its
- * target; the second crash convicts it and a finished run clears it.
+ * target; further crashes convict it and a finished run clears it.
  */
 class CrashLedger {
 public:
@@ -148,10 +148,14 @@
         /** Which crashes; a set, so that what peers know can be merged without counting twice. */
         std::set<uint64_t> crashes;
         UnixMillis expires;
-
-        bool isConvicted() const noexcept;
     };
 
+    /** @param crashesToConvict different crashes after which a request is run no more. */
+    explicit CrashLedger(size_t crashesToConvict = 2)
+        : m_crashesToConvict(crashesToConvict)
+    {
+    }
+
     /**
      * @param crash identifies the crash in the fleet.
      * @param running fingerprints of the requests that were running when the target crashed.
@@ -159,6 +163,8 @@
     void noteCrash(uint64_t crash, std::span<const uint64_t> running, UnixMillis now);
     void noteFinished(uint64_t fingerprint);
     Suspicion suspicion(uint64_t fingerprint, UnixMillis now) const;
+    /** @return when what is known of a request is forgotten; zero when nothing is. */
+    UnixMillis expiryOf(uint64_t fingerprint) const;
     /** @return the crashes that a request is suspected of. */
     std::vector<uint64_t> crashesOf(uint64_t fingerprint) const;
     /** Takes over what a peer knows. */
@@ -167,6 +173,9 @@
     std::map<uint64_t, Record> records(UnixMillis now) const;
 
 private:
+    bool isConvicted(const Record& record) const noexcept;
+
+    size_t m_crashesToConvict;
     std::map<uint64_t, Record> m_records;
 };
 
--- a/libs/decisions/src/CrashLedger.cpp
+++ b/libs/decisions/src/CrashLedger.cpp
@@ -6,18 +6,18 @@
 
 namespace {
 
-    constexpr size_t CrashesToConvict = 2;
     constexpr int64_t RecordLifetimeMs = 600000;
 
 } // namespace
 
-bool CrashLedger::Record::isConvicted() const noexcept
+bool CrashLedger::isConvicted(const Record& record) const noexcept
 {
-    return crashes.size() >= CrashesToConvict;
+    return record.crashes.size() >= m_crashesToConvict;
 }
 
 void CrashLedger::noteCrash(uint64_t crash, std::span<const uint64_t> running, UnixMillis now)
 {
+    std::erase_if(m_records, [now](const auto& item) { return item.second.expires < now; });
     const UnixMillis expires(now.value() + RecordLifetimeMs);
     std::vector<uint64_t> suspects;
     for (const uint64_t fingerprint : running) {
@@ -36,7 +36,7 @@
 void CrashLedger::noteFinished(uint64_t fingerprint)
 {
     auto found = m_records.find(fingerprint);
-    if (found != m_records.end() && !found->second.isConvicted())
+    if (found != m_records.end() && !isConvicted(found->second))
         m_records.erase(found);
 }
 
@@ -45,7 +45,13 @@
     auto found = m_records.find(fingerprint);
     if (found == m_records.end() || found->second.expires < now)
         return Suspicion::None;
-    return found->second.isConvicted() ? Suspicion::Convicted : Suspicion::Suspect;
+    return isConvicted(found->second) ? Suspicion::Convicted : Suspicion::Suspect;
+}
+
+UnixMillis CrashLedger::expiryOf(uint64_t fingerprint) const
+{
+    const auto found = m_records.find(fingerprint);
+    return found == m_records.end() ? UnixMillis(0) : found->second.expires;
 }
 
 std::vector<uint64_t> CrashLedger::crashesOf(uint64_t fingerprint) const
--- a/libs/decisions/tests/DecisionTests.cpp
+++ b/libs/decisions/tests/DecisionTests.cpp
@@ -154,6 +154,22 @@
     cr_assert(ledger.suspicion(9, now) == Suspicion::None);
 }
 
+Test(crash_ledger, convicts_after_the_given_number_and_forgets_in_time)
+{
+    CrashLedger ledger(3);
+    const std::vector<uint64_t> running { 1 };
+    ledger.noteCrash(100, running, UnixMillis(1000));
+    ledger.noteCrash(101, running, UnixMillis(1000));
+    cr_assert(ledger.suspicion(1, UnixMillis(1000)) == Suspicion::Suspect);
+    ledger.noteCrash(102, running, UnixMillis(1000));
+    cr_assert(ledger.suspicion(1, UnixMillis(1000)) == Suspicion::Convicted);
+    const UnixMillis after(ledger.expiryOf(1).value() + 1);
+    cr_assert(ledger.suspicion(1, after) == Suspicion::None);
+    const std::vector<uint64_t> other { 2 };
+    ledger.noteCrash(103, other, after);
+    cr_assert_eq(ledger.records(UnixMillis(0)).size(), 1U, "Old records are dropped.");
+}
+
 Test(crash_ledger, merging_the_same_crash_twice_counts_it_once)
 {
     CrashLedger ledger;
--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -24,6 +24,14 @@
     std::vector<fleet::PromptPart> parts;
 };
 
+/** A request was running when targets crashed. */
+struct CrashReport {
+    /** Names the request, whichever attempt of a caller it is. */
+    uint64_t fingerprint = 0;
+    /** Names of all crashes that the sender knows of. */
+    std::vector<uint64_t> crashes;
+};
+
 /** One datagram. */
 struct Update {
     EntryId sender;
@@ -34,6 +42,9 @@
     std::vector<PartsReport> parts;
     /** Targets at whose addresses the sender met others. */
     std::vector<TargetId> replaced;
+    std::vector<CrashReport> crashes;
+    /** Fingerprints of suspected requests that were served after all. */
+    std::vector<uint64_t> cleared;
 };
 
 std::string encode(const Update& update);
@@ -46,7 +57,9 @@
     void add(const LoadReport& report);
     void add(PartsReport report);
     void addReplaced(const TargetId& target) { m_replaced.push_back(target); }
-    bool empty() const noexcept { return m_loads.empty() && m_parts.empty() && m_replaced.empty(); }
+    void add(CrashReport report);
+    void addCleared(uint64_t fingerprint) { m_cleared.push_back(fingerprint); }
+    bool empty() const noexcept;
     /** @return datagrams that fit into one packet each. */
     std::vector<std::string> take(const EntryId& sender, UnixMillis startedAt);
 
@@ -54,6 +67,8 @@
     std::map<TargetId, dispatch::Load> m_loads;
     std::vector<PartsReport> m_parts;
     std::vector<TargetId> m_replaced;
+    std::vector<CrashReport> m_crashes;
+    std::vector<uint64_t> m_cleared;
     uint64_t m_number = 0;
 };
 
--- a/libs/peers/src/Codec.cpp
+++ b/libs/peers/src/Codec.cpp
@@ -10,8 +10,10 @@
         std::array<uint64_t, dispatch::UrgencyLevels>, uint64_t>;
     using PartTuple = std::tuple<std::string, uint32_t>;
     using PartsTuple = std::tuple<std::string, std::vector<PartTuple>>;
+    using CrashTuple = std::tuple<uint64_t, std::vector<uint64_t>>;
     using UpdateTuple = std::tuple<std::string, int64_t, uint64_t, std::vector<LoadTuple>,
-        std::vector<PartsTuple>, std::vector<std::string>>;
+        std::vector<PartsTuple>, std::vector<std::string>, std::vector<CrashTuple>,
+        std::vector<uint64_t>>;
 
 } // namespace
 
@@ -31,10 +33,14 @@
     std::vector<std::string> replaced;
     for (const TargetId& target : update.replaced)
         replaced.push_back(target.text());
+    std::vector<CrashTuple> crashes;
+    for (const CrashReport& report : update.crashes)
+        crashes.emplace_back(report.fingerprint, report.crashes);
     msgpack::sbuffer buffer;
     msgpack::pack(buffer,
         UpdateTuple(update.sender.text(), update.senderStartedAt.value(), update.number,
-            std::move(loads), std::move(parts), std::move(replaced)));
+            std::move(loads), std::move(parts), std::move(replaced), std::move(crashes),
+            update.cleared));
     return std::string(buffer.data(), buffer.size());
 }
 
@@ -57,6 +63,9 @@
         }
         for (const std::string& target : std::get<5>(tuple))
             update.replaced.emplace_back(target);
+        for (const auto& [fingerprint, crashes] : std::get<6>(tuple))
+            update.crashes.push_back({ fingerprint, crashes });
+        update.cleared = std::get<7>(tuple);
         return update;
     } catch (const std::exception&) {
         // The library's own failures have no common type below this one.
--- a/libs/peers/tests/PeersTests.cpp
+++ b/libs/peers/tests/PeersTests.cpp
@@ -15,22 +15,33 @@
     }
     outbox.add(PartsReport { TargetId("i-1"), { { "5c1e07a2", 800 }, { "91bd3f06", 410 } } });
     outbox.addReplaced(TargetId("i-2"));
+    for (uint64_t fingerprint = 1; fingerprint <= 70; ++fingerprint)
+        outbox.add(CrashReport { fingerprint, { 7, 8, 9 } });
+    outbox.addCleared(99);
     constexpr size_t PacketBytes = 1400;
     size_t loads = 0;
     size_t parts = 0;
     size_t replaced = 0;
+    size_t crashes = 0;
+    size_t cleared = 0;
     for (const std::string& datagram : outbox.take(EntryId("g"), UnixMillis(5))) {
         cr_expect_leq(datagram.size(), PacketBytes);
         const Update update = decode(datagram);
         loads += update.loads.size();
         parts += update.parts.size();
         replaced += update.replaced.size();
+        crashes += update.crashes.size();
+        cleared += update.cleared.size();
+        for (const CrashReport& report : update.crashes)
+            cr_expect(report.crashes == std::vector<uint64_t>({ 7, 8, 9 }));
         for (const LoadReport& report : update.loads)
             cr_expect(report.load.promptTokens[2] == 1234 && report.load.cacheTokens == 4000);
     }
     cr_assert_eq(loads, 50U);
     cr_assert_eq(parts, 1U);
     cr_assert_eq(replaced, 1U);
+    cr_assert_eq(crashes, 70U);
+    cr_assert_eq(cleared, 1U);
     cr_assert(outbox.empty());
 }
 
