A fault soak of our own: the programs as processes under random faults

The fake store got leases, slowness and lost answers; the documents of the fakes and the picker of ports are shared with the older tests.

--- a/fakes/fleet/FakeFleetStore.cpp
+++ b/fakes/fleet/FakeFleetStore.cpp
@@ -110,14 +110,46 @@
     return values;
 }
 
-void FakeFleetStore::apply(const std::string& key, const std::optional<std::string>& value)
+void FakeFleetStore::endLeases()
+{
+    std::lock_guard lock(m_mutex);
+    while (!m_leases.empty())
+        dropLease(m_leases.begin()->first);
+}
+
+void FakeFleetStore::dropLease(int64_t lease)
+{
+    m_leases.erase(lease);
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : m_items) {
+        if (item.lease == lease)
+            keys.push_back(key);
+    }
+    for (const std::string& key : keys)
+        apply(key, std::nullopt);
+}
+
+void FakeFleetStore::expireLeases()
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<int64_t> ended;
+    for (const auto& [id, lease] : m_leases) {
+        if (lease.end <= steadyNow())
+            ended.push_back(id);
+    }
+    for (const int64_t lease : ended)
+        dropLease(lease);
+}
+
+void FakeFleetStore::apply(
+    const std::string& key, const std::optional<std::string>& value, int64_t lease)
 {
     m_revision += 1;
     Change change { key, m_revision, std::nullopt };
     if (value) {
         Item& item = m_items[key];
         const int64_t created = item.created == 0 ? m_revision : item.created;
-        item = { *value, m_revision, created };
+        item = { *value, m_revision, created, lease };
         change.item = item;
     } else {
         m_items.erase(key);
@@ -132,8 +164,9 @@
     Json items = Json::array();
     for (const auto& [key, item] : m_items) {
         if (key.starts_with(prefix))
-            items.push_back({ { "key", key }, { "value", toBase64(item.value) },
-                { "revision", item.revision }, { "created", item.created }, { "lease", 0 } });
+            items.push_back(
+                { { "key", key }, { "value", toBase64(item.value) }, { "revision", item.revision },
+                    { "created", item.created }, { "lease", item.lease } });
     }
     return Json { { "items", items }, { "hasMore", false }, { "at", m_revision } }.dump();
 }
@@ -164,22 +197,59 @@
     return Json { { "events", events }, { "at", m_revision } }.dump();
 }
 
-std::string FakeFleetStore::write(const std::string& body)
+void FakeFleetStore::handleWrite(const FakeRequest& request, FakeConnection& connection)
 {
-    const Json request = Json::parse(body);
+    constexpr uint32_t NoSuchLease = 404;
+    const Json body = Json::parse(request.body);
+    std::unique_lock lock(m_mutex);
+    for (const Json& put : body["puts"]) {
+        const int64_t lease = put.value("lease", 0);
+        if (lease != 0 && !m_leases.contains(lease)) {
+            answerJson(connection, NoSuchLease, "{}");
+            return;
+        }
+    }
+    for (const Json& put : body["puts"])
+        apply(put["key"], fromBase64(put["value"]), put.value("lease", 0));
+    const Json answer { { "revision", m_revision } };
+    lock.unlock();
+    if (m_isLosingAnswers)
+        connection.reset();
+    else
+        answerJson(connection, 200, answer.dump());
+}
+
+void FakeFleetStore::handleLease(const FakeRequest& request, FakeConnection& connection)
+{
+    constexpr std::string_view Keep = "/kv-keep/";
+    constexpr uint32_t NoSuchLease = 404;
     std::lock_guard lock(m_mutex);
-    for (const Json& put : request["puts"])
-        apply(put["key"], fromBase64(put["value"]));
-    return Json { { "revision", m_revision } }.dump();
+    int64_t id = 0;
+    if (request.head.target.starts_with(Keep)) {
+        id = std::stoll(request.head.target.substr(Keep.size()));
+        if (!m_leases.contains(id)) {
+            answerJson(connection, NoSuchLease, "{}");
+            return;
+        }
+    } else {
+        id = ++m_lastLease;
+        m_leases[id].timeToLive = Milliseconds(Json::parse(request.body)["ttlMs"].get<int64_t>());
+    }
+    Lease& lease = m_leases[id];
+    lease.end = steadyNow() + lease.timeToLive;
+    answerJson(
+        connection, 200, Json { { "lease", id }, { "ttlMs", lease.timeToLive.count() } }.dump());
 }
 
 void FakeFleetStore::handle(const FakeRequest& request, FakeConnection& connection)
 {
     const std::string& target = request.head.target;
+    std::this_thread::sleep_for(m_delay.load());
     if (m_isRefusing) {
         answerJson(connection, 503, "{}");
         return;
     }
+    expireLeases();
     std::string prefix = queryField(target, "pathPrefix");
     if (target.starts_with("/kv-range")) {
         answerJson(connection, 200, range(prefix));
@@ -189,11 +259,9 @@
                 Milliseconds(std::stoll(queryField(target, "waitMs"))));
         answerJson(connection, answer ? 200 : 410, answer.value_or("{}"));
     } else if (target.starts_with("/kv-txn")) {
-        answerJson(connection, 200, write(request.body));
+        handleWrite(request, connection);
     } else {
-        std::lock_guard lock(m_mutex);
-        m_lastLease += 1;
-        answerJson(connection, 200, Json { { "lease", m_lastLease }, { "ttlMs", 6000 } }.dump());
+        handleLease(request, connection);
     }
 }
 
--- a/fakes/fleet/FakeFleetStore.h
+++ b/fakes/fleet/FakeFleetStore.h
@@ -20,6 +20,12 @@
     void dropHistory();
     /** While it is set, every call is refused. */
     void refuse(bool isRefusing) { m_isRefusing = isRefusing; }
+    /** Every call takes so much longer. */
+    void slowDown(Milliseconds delay) { m_delay = delay; }
+    /** While it is set, writes are done and not answered. */
+    void loseAnswers(bool isLosing) { m_isLosingAnswers = isLosing; }
+    /** Ends all leases at once, as when they lapse during an outage. */
+    void endLeases();
     std::map<std::string, std::string> contents() const;
 
 private:
@@ -27,6 +33,11 @@
         std::string value;
         int64_t revision = 0;
         int64_t created = 0;
+        int64_t lease = 0;
+    };
+    struct Lease {
+        Milliseconds timeToLive { 0 };
+        SteadyTime end;
     };
     struct Change {
         std::string key;
@@ -37,8 +48,11 @@
     void handle(const FakeRequest& request, FakeConnection& connection);
     std::string range(const std::string& prefix);
     std::optional<std::string> watch(const std::string& prefix, int64_t after, Milliseconds wait);
-    std::string write(const std::string& body);
-    void apply(const std::string& key, const std::optional<std::string>& value);
+    void handleWrite(const FakeRequest& request, FakeConnection& connection);
+    void handleLease(const FakeRequest& request, FakeConnection& connection);
+    void apply(const std::string& key, const std::optional<std::string>& value, int64_t lease = 0);
+    void dropLease(int64_t lease);
+    void expireLeases();
 
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
@@ -47,7 +61,10 @@
     int64_t m_revision = 1;
     int64_t m_oldestRevision = 0;
     int64_t m_lastLease = 0;
+    std::map<int64_t, Lease> m_leases;
     std::atomic<bool> m_isRefusing { false };
+    std::atomic<bool> m_isLosingAnswers { false };
+    std::atomic<Milliseconds> m_delay { Milliseconds(0) };
     std::atomic<bool> m_isStopping { false };
     std::unique_ptr<FakeHttpServer> m_server;
 };
--- /dev/null
+++ b/tests/soak/RunHistory.cpp
@@ -0,0 +1,75 @@
+#include "RunHistory.h"
+
+#include <algorithm>
+
+namespace citronspoke::soak {
+
+RunHistory::RunHistory()
+    : m_start(steadyNow())
+{
+}
+
+void RunHistory::noteRun(const std::string& attempt, const std::string& target)
+{
+    std::lock_guard lock(m_mutex);
+    m_runs[attempt].push_back(target);
+}
+
+void RunHistory::noteResult(const std::string& attempt, CallerResult result)
+{
+    std::lock_guard lock(m_mutex);
+    m_results[attempt] = result;
+}
+
+size_t RunHistory::runs(const std::string& attempt) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto found = m_runs.find(attempt);
+    return found == m_runs.end() ? 0 : found->second.size();
+}
+
+size_t RunHistory::results(CallerResult result) const
+{
+    std::lock_guard lock(m_mutex);
+    return static_cast<size_t>(std::count_if(m_results.begin(), m_results.end(),
+        [result](const auto& item) { return item.second == result; }));
+}
+
+void RunHistory::violate(std::string_view promise, const std::string& detail)
+{
+    const std::string time = std::to_string(age().count());
+    std::lock_guard lock(m_mutex);
+    m_violations.push_back(time + " ms " + std::string(promise) + ": " + detail);
+}
+
+void RunHistory::judge()
+{
+    std::vector<std::pair<std::string_view, std::string>> found;
+    {
+        std::lock_guard lock(m_mutex);
+        for (const auto& [attempt, targets] : m_runs) {
+            if (!attempt.starts_with(OncePrefix))
+                continue;
+            if (targets.size() > 1)
+                found.emplace_back("twice", attempt + " ran at " + targets[0] + ", " + targets[1]);
+            const auto result = m_results.find(attempt);
+            if (result != m_results.end() && result->second == CallerResult::Refused)
+                found.emplace_back("refused", attempt + " was refused and ran at " + targets[0]);
+        }
+    }
+    for (const auto& [promise, detail] : found)
+        violate(promise, detail);
+}
+
+std::vector<std::string> RunHistory::violations() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_violations;
+}
+
+Milliseconds RunHistory::age() const
+{
+    return std::chrono::duration_cast<Milliseconds>(steadyNow() - m_start);
+}
+
+} // namespace citronspoke::soak
--- /dev/null
+++ b/tests/soak/SoakProcess.cpp
@@ -0,0 +1,89 @@
+#include "SoakProcess.h"
+
+#include <csignal>
+#include <fstream>
+
+namespace citronspoke::soak {
+
+SoakProcess::SoakProcess(std::string name, std::string program, std::string settings,
+    const std::string& folder, RunHistory& history)
+    : m_name(std::move(name))
+    , m_program(std::move(program))
+    , m_settingsPath(folder + "/" + m_name + ".toml")
+    , m_logPath(folder + "/" + m_name + ".log")
+    , m_history(history)
+{
+    std::ofstream(m_settingsPath) << settings;
+}
+
+void SoakProcess::launch()
+{
+    m_process.emplace(
+        m_program, std::vector<std::string> { "--settings=" + m_settingsPath }, m_logPath);
+    m_startedAt = steadyNow();
+    m_isEnding = false;
+}
+
+void SoakProcess::start()
+{
+    std::lock_guard lock(m_mutex);
+    launch();
+}
+
+void SoakProcess::kill()
+{
+    std::lock_guard lock(m_mutex);
+    m_isEnding = true;
+    if (m_process)
+        m_process->kill();
+}
+
+void SoakProcess::terminate()
+{
+    std::lock_guard lock(m_mutex);
+    m_isEnding = true;
+    if (m_process)
+        m_process->signal(SIGTERM);
+}
+
+void SoakProcess::pause()
+{
+    std::lock_guard lock(m_mutex);
+    if (m_process)
+        m_process->pause();
+}
+
+void SoakProcess::resume()
+{
+    std::lock_guard lock(m_mutex);
+    if (m_process)
+        m_process->resume();
+}
+
+void SoakProcess::reload(const std::string& settings)
+{
+    std::lock_guard lock(m_mutex);
+    std::ofstream(m_settingsPath) << settings;
+    if (m_process)
+        m_process->signal(SIGHUP);
+}
+
+void SoakProcess::watch()
+{
+    std::lock_guard lock(m_mutex);
+    if (!m_process || m_process->isRunning())
+        return;
+    if (!m_isEnding)
+        m_history.violate("ended", m_name + " ended by itself");
+    launch();
+}
+
+std::optional<SteadyTime> SoakProcess::runningSince() const
+{
+    std::lock_guard lock(m_mutex);
+    if (m_isEnding || !m_process)
+        return std::nullopt;
+    return m_startedAt;
+}
+
+} // namespace citronspoke::soak
--- a/tools/localfleet/ChildProcess.cpp
+++ b/tools/localfleet/ChildProcess.cpp
@@ -116,8 +116,14 @@
     m_pid = -1;
 }
 
-void ChildProcess::pause() { ::kill(m_pid, SIGSTOP); }
-void ChildProcess::resume() { ::kill(m_pid, SIGCONT); }
+void ChildProcess::pause() { signal(SIGSTOP); }
+void ChildProcess::resume() { signal(SIGCONT); }
+
+void ChildProcess::signal(int number)
+{
+    if (m_pid >= 0)
+        ::kill(m_pid, number);
+}
 
 bool ChildProcess::waitUntilStopped(Milliseconds limit)
 {
--- a/tools/localfleet/ChildProcess.h
+++ b/tools/localfleet/ChildProcess.h
@@ -38,6 +38,7 @@
     void kill();
     void pause();
     void resume();
+    void signal(int number);
     /** Waits until the process has stopped itself at a failure point. @return false on timeout. */
     bool waitUntilStopped(Milliseconds limit);
 
--- a/tools/localfleet/LocalFleet.cpp
+++ b/tools/localfleet/LocalFleet.cpp
@@ -1,13 +1,10 @@
 #include "LocalFleet.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace citronspoke::localfleet {
 
@@ -15,30 +12,12 @@
 
     using nlohmann::json;
 
-    // Ports below the range from which the system takes those of outgoing connections.
-    constexpr uint16_t FirstPort = 20000;
-    constexpr uint16_t PortSpan = 12000;
-    /** Fleets of processes with neighbouring ids take ports from different blocks. */
-    constexpr uint16_t PortBlock = 100;
     constexpr std::string_view TargetsFile = "50-targets.toml";
     constexpr Milliseconds StartLimit { 20000 };
     constexpr Milliseconds CallLimit { 3000 };
     constexpr Milliseconds PollInterval { 50 };
     constexpr Milliseconds EndLimit { 15000 };
 
-    bool isFree(uint16_t port)
-    {
-        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        const bool bound
-            = bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
-        close(socket);
-        return bound;
-    }
-
     std::string programPath(const std::string& program)
     {
         const std::filesystem::path self = std::filesystem::read_symlink("/proc/self/exe");
@@ -83,8 +62,6 @@
 LocalFleet::LocalFleet(FleetOptions options)
     : m_options(std::move(options))
     , m_files(settings::readFolder(m_options.deploymentFolder))
-    , m_nextPort(
-          static_cast<uint16_t>(FirstPort + static_cast<size_t>(getpid()) * PortBlock % PortSpan))
 {
     std::filesystem::create_directories(m_options.workFolder);
     // Targets that are not started must not be in the configuration either.
@@ -102,13 +79,7 @@
     writeProcessSettings();
 }
 
-std::string LocalFleet::pickAddress()
-{
-    do {
-        m_nextPort = m_nextPort + 1 >= FirstPort + PortSpan ? FirstPort : m_nextPort + 1;
-    } while (!isFree(m_nextPort));
-    return "127.0.0.1:" + std::to_string(m_nextPort);
-}
+std::string LocalFleet::pickAddress() { return "127.0.0.1:" + std::to_string(m_ports.pick()); }
 
 std::vector<std::string> LocalFleet::entryNames() const
 {
--- a/tools/localfleet/LocalFleet.h
+++ b/tools/localfleet/LocalFleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ChildProcess.h"
+#include "PortPicker.h"
 #include "settings/Settings.h"
 #include "transport/Transport.h"
 
@@ -82,7 +83,7 @@
     FleetOptions m_options;
     settings::Deployment m_deployment;
     std::vector<settings::SourceFile> m_files;
-    uint16_t m_nextPort;
+    PortPicker m_ports;
     /** Addresses by "process/purpose". */
     std::map<std::string, std::string> m_addresses;
     std::map<std::string, ChildProcess> m_processes;
