Try an idempotent request that its target failed at another target

Ruled out: one bad target (the 500s are spread evenly over all three). Change: a target's 5xx to work that may be repeated is kept and another target is tried within the route's limit and the allowance; the kept failure goes to the caller unchanged when nothing better comes.

--- a/apps/gateway/RequestRun.cpp
+++ b/apps/gateway/RequestRun.cpp
@@ -318,6 +318,10 @@
         refuse(Unavailable, "deadline", ShortRetryAfter);
         return;
     }
+    if (m_targetFailure) {
+        passOn(*m_targetFailure);
+        return;
+    }
     m_writer->respond(GatewayTimeout, reasonOf(GatewayTimeout), {}, {});
     finish("timed_out", GatewayTimeout, "deadline");
 }
@@ -333,6 +337,10 @@
 
 void RequestRun::fail(std::string_view cause)
 {
+    if (m_targetFailure && !m_hasBegunAnswer) {
+        passOn(*m_targetFailure);
+        return;
+    }
     finish(m_hasBegunAnswer ? "broken" : "failed", BadGateway, cause);
     if (m_hasBegunAnswer)
         m_writer->abort();
--- a/apps/gateway/RequestRun.h
+++ b/apps/gateway/RequestRun.h
@@ -72,6 +72,12 @@
         std::string handle;
     };
 
+    /** A target's own answer that is no success. */
+    struct TargetFailure {
+        http1::ResponseHead head;
+        std::string body;
+    };
+
     bool findRoute();
     void sendNext();
     bool sendWhole();
@@ -91,7 +97,10 @@
     void afterPrompt(Outcome outcome);
     void afterAnswer(Outcome outcome);
     void finishServed();
-    void passOnFailure();
+    /** A target ran the request and answered with a failure of its own. */
+    void afterTargetFailure();
+    /** Answers with what a target answered. */
+    void passOn(const TargetFailure& failure);
     /** Tries again or gives up. @param mayHaveRun the attempt may have run. */
     void tryAgain(bool mayHaveRun, std::string_view cause);
     /** @param sends that count as retries. @param obstacle is set when there is one. */
@@ -126,6 +135,8 @@
     std::set<TargetId> m_lostAnswers;
     /** Targets that should not be asked again. */
     std::set<TargetId> m_avoided;
+    /** Goes to the caller when no other target serves the request. */
+    std::optional<TargetFailure> m_targetFailure;
     std::optional<uint64_t> m_lastEvent;
     bool m_hasBegunAnswer = false;
     bool m_isOver = false;
--- a/apps/gateway/RequestRunAnswers.cpp
+++ b/apps/gateway/RequestRunAnswers.cpp
@@ -168,7 +168,7 @@
     case Outcome::FailedByTarget:
         m_ranOn.insert(m_attempt->target.id);
         m_prompt.reset();
-        passOnFailure();
+        afterTargetFailure();
         return;
     case Outcome::NotExecuted:
     case Outcome::NotSent:
@@ -193,16 +193,27 @@
     finish("served", status, "");
 }
 
-void RequestRun::passOnFailure()
+void RequestRun::afterTargetFailure()
 {
+    constexpr uint32_t FirstServerError = 500;
     if (m_hasBegunAnswer) {
         finish("broken", m_attempt->head->status, "the resumed run failed");
         m_writer->abort();
         return;
     }
-    m_writer->respond(m_attempt->head->status, m_attempt->head->reason,
-        adapter::callerHeaders(*m_attempt->head), m_attempt->body);
-    finish("failed_by_target", m_attempt->head->status, "");
+    m_targetFailure = TargetFailure { *m_attempt->head, m_attempt->body };
+    // Other failures are the request's own, wherever it runs.
+    if (m_attempt->head->status >= FirstServerError)
+        tryAgain(true, "the target failed it");
+    else
+        passOn(*m_targetFailure);
+}
+
+void RequestRun::passOn(const TargetFailure& failure)
+{
+    m_writer->respond(failure.head.status, failure.head.reason,
+        adapter::callerHeaders(failure.head), failure.body);
+    finish("failed_by_target", failure.head.status, "");
 }
 
 } // namespace citronspoke::gateway
