Gateways that start ask the engines what they keep

Cause: a gateway that starts knows nothing of the engines' caches. Change: CacheSurvey asks up to 48 engines for their lists, one after the other, in another order at each gateway. A load pattern test with warm engines; it fails without the survey (run).

--- /dev/null
+++ b/apps/gateway/CacheSurvey.cpp
@@ -0,0 +1,80 @@
+#include "CacheSurvey.h"
+
+#include "telemetry/Telemetry.h"
+
+#include <algorithm>
+
+namespace citronspoke::gateway {
+
+namespace {
+
+    /** An engine that is busy answers late; what it keeps is soon known from its work anyway. */
+    constexpr Milliseconds CallLimit { 500 };
+    /** Each call delays an engine's work, so that large fleets are asked in part only. */
+    constexpr size_t MostEngines = 48;
+    constexpr uint32_t Ok = 200;
+
+} // namespace
+
+CacheSurvey::CacheSurvey(GatewayContext& context)
+    : m_context(context)
+{
+}
+
+void CacheSurvey::start()
+{
+    if (std::exchange(m_isStarted, true))
+        return;
+    for (const auto& [id, state] : m_context.directory.targets()) {
+        if (state.entry.role)
+            m_engines.push_back(state.entry);
+    }
+    // Each gateway asks in another order, so that none of the engines is asked by all at once.
+    const auto rank = [this](const fleet::TargetEntry& engine) {
+        return stableHash(m_context.settings.id + "/" + engine.id.text());
+    };
+    std::sort(m_engines.begin(), m_engines.end(),
+        [&rank](const fleet::TargetEntry& left, const fleet::TargetEntry& right) {
+            return rank(left) < rank(right);
+        });
+    m_engines.resize(std::min(m_engines.size(), MostEngines));
+    askNext();
+}
+
+void CacheSurvey::askNext()
+{
+    if (m_engines.empty())
+        return;
+    const fleet::TargetEntry engine = m_engines.back();
+    m_engines.pop_back();
+    m_call = channels::call(m_context.loop, m_context.targets, { engine.address, engine.id.text() },
+        adapter::composeCall(adapter::cacheListCall(), engine.address), CallLimit,
+        [this, engine](const std::optional<channels::CallAnswer>& answer) {
+            const std::shared_ptr<void> finished = std::exchange(m_call, nullptr);
+            onAnswer(engine, answer);
+            askNext();
+        });
+}
+
+void CacheSurvey::onAnswer(
+    const fleet::TargetEntry& engine, const std::optional<channels::CallAnswer>& answer)
+{
+    std::string cause = "no answer";
+    try {
+        if (answer && answer->status == Ok) {
+            const std::vector<fleet::PromptPart> parts = adapter::decodeCacheList(answer->body);
+            m_context.noteParts(engine.id, parts);
+            telemetry::logInfo("caches", "An engine said what it keeps.",
+                { { "target", engine.id.text() }, { "parts", std::to_string(parts.size()) } });
+            return;
+        }
+        if (answer)
+            cause = "status " + std::to_string(answer->status);
+    } catch (const adapter::DocumentUnreadable& unreadable) {
+        cause = unreadable.describe();
+    }
+    telemetry::logWarning("caches", "An engine did not say what it keeps.",
+        { { "target", engine.id.text() }, { "cause", cause } });
+}
+
+} // namespace citronspoke::gateway
--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -59,6 +59,7 @@
               [this](const adapter::KeyChange& change, SteadyTime) { onRoleChange(change); } })
     , m_peers(m_context, m_storePool, fleet::requireAddress(settings.store),
           fleet::requireAddress(settings.operatorAddress))
+    , m_survey(m_context)
     , m_listener(std::make_unique<channels::Listener>(loop, fleet::requireAddress(settings.callers),
           [this](channels::ConnectionPointer connection) { accept(std::move(connection)); }))
     , m_readiness(loop, fleet::requireAddress(settings.readiness),
@@ -103,6 +104,7 @@
             { { "revision", std::to_string(revision.value()) },
                 { "before", std::to_string(known.value()) },
                 { "routes", std::to_string(m_context.routes->declaration().routes.size()) } });
+        surveyCaches();
     } catch (const adapter::DocumentUnreadable& unreadable) {
         telemetry::logError("config", "Kept the declaration; the new one is unreadable.",
             { { "cause", unreadable.describe() } });
@@ -131,6 +133,13 @@
     telemetry::logInfo("targets", "Read the list of targets.",
         { { "targets", std::to_string(entries.size()) },
             { "may_return", mayReturnUntil > steadyNow() ? "yes" : "no" } });
+    surveyCaches();
+}
+
+void Gateway::surveyCaches()
+{
+    if (m_context.routes && m_context.directory.size() > 0)
+        m_survey.start();
 }
 
 void Gateway::onTargetChange(const adapter::KeyChange& change, SteadyTime mayReturnUntil)
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CacheSurvey.h"
 #include "CallerConnection.h"
 #include "PeerGroup.h"
 
@@ -22,6 +23,8 @@
     void onTargets(std::span<const adapter::StoreItem> items, SteadyTime mayReturnUntil);
     void onTargetChange(const adapter::KeyChange& change, SteadyTime mayReturnUntil);
     std::optional<fleet::TargetEntry> decodeTarget(const adapter::StoreItem& item) const;
+    /** Once the declaration and the targets are known. */
+    void surveyCaches();
     void onRoles(std::span<const adapter::StoreItem> items);
     void onRoleChange(const adapter::KeyChange& change);
     void accept(channels::ConnectionPointer connection);
@@ -36,6 +39,7 @@
     storefeed::StoreFeed m_targets;
     storefeed::StoreFeed m_roles;
     PeerGroup m_peers;
+    CacheSurvey m_survey;
     std::unique_ptr<channels::Listener> m_listener;
     channels::PageServer m_readiness;
     channels::PageServer m_operator;
--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -21,9 +21,9 @@
 } // namespace
 
 GatewayFixture::GatewayFixture()
-    : m_callersPort(fakes::freePort())
-    , m_readinessPort(fakes::freePort())
-    , m_operatorPort(fakes::freePort())
+    : m_callersPort(m_ports.pick())
+    , m_readinessPort(m_ports.pick())
+    , m_operatorPort(m_ports.pick())
 {
 }
 
@@ -50,6 +50,10 @@
     m_targets.push_back(std::make_unique<fakes::FakeHttpServer>(
         [this, id, script = std::move(script)](
             const fakes::FakeRequest& request, fakes::FakeConnection& connection) {
+            if (request.head.target == "/kv-list") {
+                answerCacheList(id, connection);
+                return;
+            }
             {
                 std::lock_guard lock(m_mutex);
                 m_seen.push_back({ id, request });
@@ -60,6 +64,29 @@
         "servers/" + id, fakes::entryText(service, m_targets.back()->address().text(), role));
 }
 
+void GatewayFixture::keep(const std::string& id, const std::map<std::string, int>& parts)
+{
+    std::lock_guard lock(m_mutex);
+    m_kept[id] = parts;
+}
+
+bool GatewayFixture::wasSurveyed(const std::string& id) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_surveyed.contains(id);
+}
+
+void GatewayFixture::answerCacheList(const std::string& id, fakes::FakeConnection& connection)
+{
+    nlohmann::json held = nlohmann::json::array();
+    std::lock_guard lock(m_mutex);
+    for (const auto& [part, tokens] : m_kept[id])
+        held.push_back({ "", part, tokens, "m" });
+    m_surveyed.insert(id);
+    connection.answer(
+        200, {}, nlohmann::json { { "epoch", 1 }, { "next", 1 }, { "held", held } }.dump());
+}
+
 void GatewayFixture::start()
 {
     const std::string host = "127.0.0.1:";
@@ -133,38 +160,48 @@
         static_cast<ssize_t>(bytes.size()));
 }
 
-CallerAnswer Caller::receive()
+CallerAnswer parseAnswer(std::string_view bytes)
 {
     CallerAnswer answer;
     http1::ResponseParser parser;
+    std::vector<http1::ResponseEvent> events;
+    parser.feed(bytes, events);
+    for (const http1::ResponseEvent& event : events) {
+        if (const http1::ResponseHead* head = std::get_if<http1::ResponseHead>(&event)) {
+            answer.status = head->status;
+            answer.headers = head->headers;
+        } else if (const http1::BodyPart* part = std::get_if<http1::BodyPart>(&event)) {
+            answer.body += part->bytes;
+        } else {
+            answer.isWhole = true;
+        }
+    }
+    return answer;
+}
+
+CallerAnswer Caller::receive()
+{
+    std::string bytes;
     std::array<char, 16384> buffer {};
+    CallerAnswer answer;
     while (!answer.isWhole) {
         const ssize_t size = recv(m_descriptor, buffer.data(), buffer.size(), 0);
         if (size <= 0)
-            return answer;
-        std::vector<http1::ResponseEvent> events;
-        parser.feed(std::string_view(buffer.data(), static_cast<size_t>(size)), events);
-        for (const http1::ResponseEvent& event : events) {
-            if (const http1::ResponseHead* head = std::get_if<http1::ResponseHead>(&event)) {
-                answer.status = head->status;
-                answer.headers = head->headers;
-            } else if (const http1::BodyPart* part = std::get_if<http1::BodyPart>(&event)) {
-                answer.body += part->bytes;
-            } else {
-                answer.isWhole = true;
-            }
-        }
+            break;
+        bytes.append(buffer.data(), static_cast<size_t>(size));
+        answer = parseAnswer(bytes);
     }
     return answer;
 }
 
-void Caller::receiveUntil(std::string_view bodyEnd)
+std::string Caller::receiveUntil(std::string_view end)
 {
     std::string text;
     char letter = 0;
-    while (!text.ends_with(bodyEnd) && recv(m_descriptor, &letter, 1, 0) == 1)
+    while (!text.ends_with(end) && recv(m_descriptor, &letter, 1, 0) == 1)
         text.push_back(letter);
-    cr_assert(text.ends_with(bodyEnd));
+    cr_assert(text.ends_with(end));
+    return text;
 }
 
 std::string requestText(const std::string& method, const std::string& path,
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -3,6 +3,7 @@
 #include "FakeDocuments.h"
 #include "FakeFleetStore.h"
 #include "Gateway.h"
+#include "PortPicker.h"
 
 namespace citronspoke::gateway::tests {
 
@@ -29,6 +30,10 @@
     /** @param role empty for an application. */
     void addTarget(const std::string& id, const std::string& service, Script script,
         const std::string& role = {});
+    /** What an engine says it keeps: parts by id, with their tokens. */
+    void keep(const std::string& id, const std::map<std::string, int>& parts);
+    /** @return whether a target was asked what it keeps. */
+    bool wasSurveyed(const std::string& id) const;
     /** Starts the gateway and waits until it is ready. */
     void start();
     void stopGateway()
@@ -47,13 +52,16 @@
     static void waitUntil(const std::function<bool()>& condition);
 
 private:
-    std::string settingsText() const;
+    void answerCacheList(const std::string& id, fakes::FakeConnection& connection);
 
     fakes::FakeFleetStore m_store;
     nlohmann::json m_routes = nlohmann::json::array();
     mutable std::mutex m_mutex;
     std::vector<SeenRequest> m_seen;
+    std::map<std::string, std::map<std::string, int>> m_kept;
+    std::set<std::string> m_surveyed;
     std::vector<std::unique_ptr<fakes::FakeHttpServer>> m_targets;
+    localfleet::PortPicker m_ports;
     uint16_t m_callersPort;
     uint16_t m_readinessPort;
     uint16_t m_operatorPort;
@@ -72,6 +80,9 @@
     bool isWhole = false;
 };
 
+/** @return an answer from its bytes. */
+CallerAnswer parseAnswer(std::string_view bytes);
+
 /** A caller's connection. */
 class Caller {
 public:
@@ -83,8 +94,8 @@
     void send(std::string_view bytes);
     /** Reads one answer, or up to the end of the connection. */
     CallerAnswer receive();
-    /** Reads until the body so far ends so. */
-    void receiveUntil(std::string_view bodyEnd);
+    /** Reads until the bytes so far end so. @return the bytes. */
+    std::string receiveUntil(std::string_view end);
     void close();
 
 private:
--- a/apps/gateway/tests/StreamTests.cpp
+++ b/apps/gateway/tests/StreamTests.cpp
@@ -76,22 +76,36 @@
 {
     GatewayFixture fixture;
     std::atomic<int> runs { 0 };
+    std::atomic<bool> hasCallerTwo { false };
     const GatewayFixture::Script script
-        = [&runs](const FakeRequest& request, FakeConnection& connection) {
+        = [&](const FakeRequest& request, FakeConnection& connection) {
               if (runs++ > 0) {
                   streamWhole(request, connection);
                   return;
               }
               sendEvents(request, connection, 1, 2);
+              // A reset destroys what has not been read yet.
+              GatewayFixture::waitUntil([&] { return hasCallerTwo.load(); });
               // Torn in the middle of an event.
               connection.send(http1::composeChunk("id: 3\ndata: to"));
               connection.reset();
           };
     startEngines(fixture, true, readPrompt, script, script);
-    const CallerAnswer answered = ask(fixture, requestText("POST", "/s/x", "a1", PromptLines));
+    Caller caller(fixture.callers());
+    caller.send(requestText("POST", "/s/x", "a1", PromptLines));
+    std::string bytes = caller.receiveUntil(eventText(2) + "\r\n");
+    hasCallerTwo = true;
+    bytes += caller.receiveUntil(http1::LastChunk);
+    const CallerAnswer answered = parseAnswer(bytes);
     cr_assert(answered.isWhole);
     cr_assert(answered.body == eventsText(1, 4));
-    cr_assert(fixture.seen().back().request.field("Last-Event-Id") == "2");
+    // The old prompt's cache is freed at the same time, so that only the runs are in order.
+    std::vector<std::string> lastEvents;
+    for (const SeenRequest& seen : fixture.seen()) {
+        if (!seen.request.field("X-Kv-Source").empty())
+            lastEvents.push_back(seen.request.field("Last-Event-Id"));
+    }
+    cr_assert(lastEvents == std::vector<std::string>({ "", "2" }));
 }
 
 Test(streams, that_may_not_be_resumed_break_visibly)
@@ -183,3 +197,35 @@
     cr_assert_eq(fixture.seenBy("maker-1"), 0U);
     cr_assert_eq(fixture.seenBy("maker-2"), 4U);
 }
+
+Test(load_pattern, a_gateway_that_starts_beside_warm_engines_has_nothing_shared_read_again)
+{
+    GatewayFixture fixture;
+    fixture.addRoute("/s/", { "streaming", "llm", 5000, 2, true, true });
+    fixture.declare(1);
+    for (const char* id : { "warm", "cold-1", "cold-2" })
+        fixture.addTarget(id, "llm", readPrompt, "prefill");
+    fixture.addTarget("maker", "llm", streamWhole, "decode");
+    std::map<std::string, int> parts;
+    for (int part = 0; part < 8; ++part)
+        parts["part" + std::to_string(part)] = 8000;
+    fixture.keep("warm", parts);
+    fixture.start();
+    for (const char* id : { "warm", "cold-1", "cold-2", "maker" })
+        GatewayFixture::waitUntil([&] { return fixture.wasSurveyed(id); });
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
+    for (const auto& [part, tokens] : parts) {
+        const std::string lines = "X-Model: m\r\nX-Token-Counts: 8100,8\r\nX-Prefix-Hash: " + part
+            + ":8000,own" + part + ":100\r\n";
+        cr_assert(ask(fixture, requestText("POST", "/s/x", part, lines, "prompt")).isWhole);
+    }
+    size_t reads = 0;
+    for (const SeenRequest& seen : fixture.seen()) {
+        if (seen.request.field("X-Phase") != "prefill")
+            continue;
+        reads += 1;
+        cr_expect(seen.target == "warm" || !seen.request.field("Kv-Fetch").empty(), "%s at %s",
+            seen.request.field("X-Attempt-Id").c_str(), seen.target.c_str());
+    }
+    cr_assert_eq(reads, 8U);
+}
--- a/fakes/fleet/FakeHttpServer.cpp
+++ b/fakes/fleet/FakeHttpServer.cpp
@@ -25,13 +25,6 @@
 
 } // namespace
 
-uint16_t freePort()
-{
-    uint16_t port = 0;
-    close(listenOnFreePort(port));
-    return port;
-}
-
 std::string FakeRequest::field(std::string_view name) const
 {
     return std::string(head.headers.find(name).value_or(""));
--- a/fakes/fleet/FakeHttpServer.h
+++ b/fakes/fleet/FakeHttpServer.h
@@ -65,7 +65,4 @@
     std::jthread m_acceptor;
 };
 
-/** @return a port that was free a moment ago. */
-uint16_t freePort();
-
 } // namespace citronspoke::fakes
