An emulator of the engines, and an experiment tool with plots

The soak stops its proxies' thread before it destroys them: seven of fifty plays had ended with a corrupted heap of the harness.

--- /dev/null
+++ b/libs/emulator/src/Arrivals.cpp
@@ -0,0 +1,168 @@
+#include "Arrivals.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace citronspoke::emulator {
+
+namespace {
+
+    /** A window in which the worst-served seconds are looked for. */
+    constexpr Milliseconds Window { 2000 };
+
+    bool holds(const Span& span, Micros at)
+    {
+        return at >= span.from && at < span.from + span.length;
+    }
+
+    /** @return a size around a mean, with a long tail. */
+    uint32_t drawSize(std::mt19937_64& random, double mean, double spread)
+    {
+        if (spread <= 0)
+            return static_cast<uint32_t>(mean);
+        // Of a log-normal distribution with this coefficient of variation.
+        const double variance = std::log(1 + spread * spread);
+        std::lognormal_distribution<double> sizes(
+            std::log(mean) - variance / 2, std::sqrt(variance));
+        constexpr double MostMeans = 4;
+        return static_cast<uint32_t>(std::clamp(sizes(random), 1.0, MostMeans * mean));
+    }
+
+    double burstFactor(const LoadPattern& pattern, const std::string& kind, Micros at)
+    {
+        double factor = 1;
+        for (const Disturbance& disturbance : pattern.disturbances) {
+            const Burst* burst = std::get_if<Burst>(&disturbance);
+            if (burst && burst->kind == kind && holds(burst->span, at))
+                factor *= burst->factor;
+        }
+        return factor;
+    }
+
+    Micros patienceAt(
+        const LoadPattern& pattern, const RequestKind& kind, Micros at, std::mt19937_64& random)
+    {
+        std::uniform_real_distribution<double> uniform(0, 1);
+        for (const Disturbance& disturbance : pattern.disturbances) {
+            const Leavers* leavers = std::get_if<Leavers>(&disturbance);
+            if (leavers && holds(leavers->span, at) && uniform(random) < leavers->share)
+                return leavers->within;
+        }
+        return kind.patience;
+    }
+
+    fleet::Prompt drawPrompt(const RequestKind& kind, std::span<const uint32_t> sharedSizes,
+        size_t number, std::mt19937_64& random)
+    {
+        fleet::Prompt prompt;
+        prompt.model = "m";
+        if (!sharedSizes.empty()) {
+            // Some parts are asked for more often than others.
+            constexpr double Skew = 0.3;
+            std::uniform_real_distribution<double> uniform(0, 1);
+            const double place = std::pow(uniform(random), 1 / (1 - Skew));
+            const size_t part = std::min(sharedSizes.size() - 1,
+                static_cast<size_t>(place * static_cast<double>(sharedSizes.size())));
+            prompt.parts.push_back({ kind.name + "/" + std::to_string(part), sharedSizes[part] });
+        }
+        prompt.parts.push_back({ kind.name + "#" + std::to_string(number),
+            drawSize(random, kind.ownTokens, kind.ownSpread) });
+        for (const fleet::PromptPart& part : prompt.parts)
+            prompt.tokens += part.tokens;
+        prompt.outputLimit = std::max(1U, drawSize(random, kind.outputTokens, 1));
+        return prompt;
+    }
+
+    /** Requests are worth more with their size, as the users count it. */
+    double sizeFactor(const RequestKind& kind, const fleet::Prompt& prompt)
+    {
+        constexpr double Fixed = 0.3;
+        constexpr double Most = 4;
+        constexpr double OutputWeight = 10;
+        const double mean = kind.sharedTokens + kind.ownTokens + OutputWeight * kind.outputTokens;
+        const double size = prompt.tokens + OutputWeight * prompt.outputLimit;
+        return std::min(Most, Fixed + (1 - Fixed) * size / mean);
+    }
+
+} // namespace
+
+std::vector<Arrival> drawArrivals(const LoadPattern& pattern, uint64_t seed)
+{
+    std::vector<Arrival> arrivals;
+    for (size_t index = 0; index < pattern.kinds.size(); ++index) {
+        const RequestKind& kind = pattern.kinds[index];
+        std::mt19937_64 random(seed * pattern.kinds.size() + index);
+        std::vector<uint32_t> sharedSizes;
+        if (kind.sharedTokens > 0) {
+            for (uint32_t part = 0; part < kind.sharedParts; ++part)
+                sharedSizes.push_back(drawSize(random, kind.sharedTokens, kind.sharedSpread));
+        }
+        Micros at { 0 };
+        while (true) {
+            constexpr double MsPerSecond = 1000;
+            const double rate = kind.perSecond * burstFactor(pattern, kind.name, at) / MsPerSecond;
+            at += fromMs(std::exponential_distribution<double>(rate)(random));
+            if (at >= pattern.length)
+                break;
+            Arrival arrival;
+            arrival.at = at;
+            arrival.kind = index;
+            arrival.prompt = drawPrompt(kind, sharedSizes, arrivals.size(), random);
+            const double factor = sizeFactor(kind, arrival.prompt);
+            arrival.worth = kind.worth * factor;
+            arrival.lateWorth = kind.lateWorth * factor;
+            arrival.patience = patienceAt(pattern, kind, at, random);
+            arrivals.push_back(std::move(arrival));
+        }
+    }
+    std::sort(arrivals.begin(), arrivals.end(),
+        [](const Arrival& left, const Arrival& right) { return left.at < right.at; });
+    return arrivals;
+}
+
+double worthBound(
+    std::span<const Arrival> arrivals, const LoadPattern& pattern, double readTokensPerMs)
+{
+    // A shared part is read once at least; all that use it bear an even share of that.
+    std::map<std::string, double> uses;
+    for (const Arrival& arrival : arrivals)
+        uses[arrival.prompt.parts.front().id] += 1;
+    const auto tokensOf = [&uses](const Arrival& arrival) {
+        const std::vector<fleet::PromptPart>& parts = arrival.prompt.parts;
+        double tokens = parts.back().tokens;
+        if (parts.size() > 1)
+            tokens += parts.front().tokens / uses[parts.front().id];
+        return tokens;
+    };
+    double owed = 0;
+    double earned = 0;
+    Milliseconds longest { 0 };
+    for (const RequestKind& kind : pattern.kinds)
+        longest = std::max(longest, kind.objective);
+    for (size_t first = 0; first < arrivals.size();) {
+        const int64_t window = arrivals[first].at / Window;
+        std::vector<const Arrival*> here;
+        size_t next = first;
+        for (; next < arrivals.size() && arrivals[next].at / Window == window; ++next)
+            here.push_back(&arrivals[next]);
+        first = next;
+        const auto density = [&tokensOf](const Arrival* arrival) {
+            return (arrival->worth - arrival->lateWorth) / tokensOf(*arrival);
+        };
+        std::sort(here.begin(), here.end(), [&](const Arrival* left, const Arrival* right) {
+            return density(left) > density(right);
+        });
+        // What came in the window must be read within it or the longest objective after it.
+        double capacity = readTokensPerMs * static_cast<double>((Window + longest).count());
+        for (const Arrival* arrival : here) {
+            owed += arrival->worth;
+            const double tokens = tokensOf(*arrival);
+            const double share = std::clamp(capacity / tokens, 0.0, 1.0);
+            earned += arrival->lateWorth + share * (arrival->worth - arrival->lateWorth);
+            capacity -= share * tokens;
+        }
+    }
+    return owed > 0 ? earned / owed : 1;
+}
+
+} // namespace citronspoke::emulator
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -5,7 +5,8 @@
   g++ cmake ninja-build pkg-config curl
   libnng-dev librestinio-dev libhttp-parser-dev libfmt-dev libeasyloggingpp-dev libcriterion-dev
   prometheus-cpp-dev libasio-dev libabsl-dev libcurl4-openssl-dev libtomlplusplus-dev
-  nlohmann-json3-dev libmsgpack-cxx-dev libssl-dev librapidcheck-dev
+  nlohmann-json3-dev libmsgpack-cxx-dev libssl-dev librapidcheck-dev libcairo2-dev
+  libbenchmark-dev
 )
 if [ "${1:-}" = "--lint" ]; then
   packages+=(clang-format clang-tidy)
--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -45,9 +45,11 @@
 SoakFleet::~SoakFleet()
 {
     m_watcher = {};
+    // The proxies are used by the loop's thread until it has ended.
+    m_loop.stop();
+    m_loopThread = {};
     m_gateways.clear();
     m_targets.clear();
-    m_loop.stop();
 }
 
 fleet::Address SoakFleet::pickAddress() { return { "127.0.0.1", m_ports.pick() }; }
