Do not pass on a target's 'not run' once another target may have run it

Change: such an answer is not passed on; the caller gets an earlier target's failure or 502. The test fails without it (run).

--- a/apps/gateway/RequestRunAnswers.cpp
+++ b/apps/gateway/RequestRunAnswers.cpp
@@ -5,12 +5,22 @@
 #include "PeerGroup.h"
 #include "telemetry/Telemetry.h"
 
+#include <algorithm>
+#include <array>
+
 namespace citronspoke::gateway {
 
 namespace {
 
     bool isSuccess(uint32_t status) { return status >= 200 && status < 300; }
 
+    /** @return whether a status tells callers that their request has not run and will not. */
+    bool promisesNotRun(uint32_t status)
+    {
+        constexpr std::array<uint32_t, 4> Promises { 408, 421, 429, 503 };
+        return std::find(Promises.begin(), Promises.end(), status) != Promises.end();
+    }
+
 } // namespace
 
 bool RequestRun::isOurAnswer(const http1::ResponseHead& head) const
@@ -201,12 +211,15 @@
         m_writer->abort();
         return;
     }
-    m_targetFailure = TargetFailure { *m_attempt->head, m_attempt->body };
+    const uint32_t status = m_attempt->head->status;
+    // What one target promises is not true of another that may have run it before.
+    if (!promisesNotRun(status) || m_ranOn.size() == 1)
+        m_targetFailure = TargetFailure { *m_attempt->head, m_attempt->body };
     // Other failures are the request's own, wherever it runs.
-    if (m_attempt->head->status >= FirstServerError)
+    if (status >= FirstServerError)
         tryAgain(true, "the target failed it");
     else
-        passOn(*m_targetFailure);
+        fail("the target failed it");
 }
 
 void RequestRun::passOn(const TargetFailure& failure)
--- a/apps/gateway/tests/GatewayTests.cpp
+++ b/apps/gateway/tests/GatewayTests.cpp
@@ -367,3 +367,24 @@
     cr_assert_eq(ask(fixture, requestText("POST", "/a/x", "a1")).status, 500U);
     cr_assert_eq(fixture.seen().size(), 1U);
 }
+
+Test(target_failures, that_promise_not_run_are_not_passed_on_once_another_target_may_have_run_it)
+{
+    GatewayFixture fixture;
+    std::atomic<int> runs { 0 };
+    startPair(fixture, Repeatable, [&runs](const FakeRequest& request, FakeConnection& connection) {
+        if (runs++ == 0) {
+            // It runs to a good end, and the answer is lost.
+            connection.reset();
+            return;
+        }
+        http1::Headers headers;
+        headers.add("X-Attempt-Id", request.field("X-Attempt-Id"));
+        headers.add("X-Server-Stamp", "stamp");
+        connection.answer(503, headers, "busy");
+    });
+    const CallerAnswer answered = ask(fixture, requestText("GET", "/a/x", "a1"));
+    cr_assert_eq(answered.status, 502U);
+    cr_assert_not(answered.headers.find("X-Server-Stamp").has_value());
+    cr_assert_eq(fixture.seen().size(), 2U);
+}
