A reload while a program starts does not end it

Ruled out: the restart itself (the process had logged nothing when it ended). The soak sends SIGHUP only to a program that has begun to take it: before its first instruction none can.

--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <csignal>
+#include <optional>
 
 namespace {
 
@@ -22,18 +23,21 @@
 
 void serve(const std::string& path)
 {
-    const settings::GatewaySettings settings
-        = settings::parseGatewaySettings(settings::readFile(path));
+    // Signals are taken before the settings are read, so that no change of theirs is missed; they
+    // are handled once the loop runs.
     channels::EventLoop loop;
-    gateway::Gateway gateway(loop, settings);
+    std::optional<gateway::Gateway> gateway;
     constexpr std::array<int, 3> Signals { SIGTERM, SIGINT, SIGHUP };
     loop.onSignals(Signals, [&gateway, &path](int signal) {
         if (signal == SIGHUP)
-            reload(gateway, path);
+            reload(*gateway, path);
         else
-            gateway.beginStop();
+            gateway->beginStop();
     });
-    gateway.start();
+    const settings::GatewaySettings settings
+        = settings::parseGatewaySettings(settings::readFile(path));
+    gateway.emplace(loop, settings);
+    gateway->start();
     telemetry::logInfo("gateway", "Started.",
         { { "id", settings.id }, { "callers", settings.callers }, { "store", settings.store } });
     loop.run();
--- a/apps/programs/Program.cpp
+++ b/apps/programs/Program.cpp
@@ -17,11 +17,13 @@
 int runProgram(int argc, char** argv, std::string_view part,
     const std::function<void(const std::string& settingsPath)>& serve)
 {
+    // A reload that comes before the settings are read needs no work, and must not end the program.
+    std::signal(SIGHUP, SIG_IGN);
+    std::signal(SIGPIPE, SIG_IGN);
     const std::string name = "citronspoke-" + std::string(part);
     absl::SetProgramUsageMessage("A program of citronspoke on the users' platform.\n  " + name
         + " --settings=FILE\nWithout the flag, CITRONSPOKE_SETTINGS names the file.");
     absl::ParseCommandLine(argc, argv);
-    std::signal(SIGPIPE, SIG_IGN);
     telemetry::configureLogging(absl::GetFlag(FLAGS_verbose));
     int status = 0;
     try {
--- a/tests/soak/SoakProcess.cpp
+++ b/tests/soak/SoakProcess.cpp
@@ -64,7 +64,8 @@
 {
     std::lock_guard lock(m_mutex);
     std::ofstream(m_settingsPath) << settings;
-    if (m_process)
+    // Between its start and its first instruction no program can take a signal.
+    if (m_process && m_process->takes(SIGHUP))
         m_process->signal(SIGHUP);
 }
 
--- a/tools/localfleet/ChildProcess.cpp
+++ b/tools/localfleet/ChildProcess.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -119,6 +120,18 @@
 void ChildProcess::pause() { signal(SIGSTOP); }
 void ChildProcess::resume() { signal(SIGCONT); }
 
+bool ChildProcess::takes(int signal) const
+{
+    constexpr int Hexadecimal = 16;
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    uint64_t taken = 0;
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("SigIgn:") || line.starts_with("SigCgt:"))
+            taken |= std::stoull(line.substr(line.find(':') + 1), nullptr, Hexadecimal);
+    }
+    return (taken >> (signal - 1) & 1) != 0;
+}
+
 void ChildProcess::signal(int number)
 {
     if (m_pid >= 0)
--- a/tools/localfleet/ChildProcess.h
+++ b/tools/localfleet/ChildProcess.h
@@ -39,6 +39,8 @@
     void pause();
     void resume();
     void signal(int number);
+    /** @return whether the program has begun to catch or ignore a signal. */
+    bool takes(int signal) const;
     /** Waits until the process has stopped itself at a failure point. @return false on timeout. */
     bool waitUntilStopped(Milliseconds limit);
 
