Connections too old for one request are left for others

Change: the pool leaves them. 'Sent.' says whether the connection was kept. The test fails without the change (run).

--- a/apps/gateway/RequestRun.cpp
+++ b/apps/gateway/RequestRun.cpp
@@ -226,15 +226,6 @@
     if (m_pool->engine && !terms.priority)
         terms.priority = std::min(m_route->priority, LeastUrgent);
     m_context.noteStarted(target.id, load);
-    telemetry::logInfo("request", "Sent.",
-        { { "id", m_terms.attempt.text() }, { "attempt", std::to_string(m_attempts) },
-            { "step", std::string(StepNames[static_cast<size_t>(step)]) },
-            { "target", target.id.text() }, { "address", target.address.text() },
-            { "tokens", std::to_string(load.tokensToRead()) },
-            { "urgency", terms.priority ? std::to_string(*terms.priority) : "" },
-            { "fetch", terms.fetchPartsFrom ? terms.fetchPartsFrom->text() : "" },
-            { "left_ms", text(terms.timeLeft) } });
-
     const std::weak_ptr<RequestRun> weak = weak_from_this();
     const uint32_t number = m_attempts;
     const auto current = [weak, number]() -> std::shared_ptr<RequestRun> {
@@ -263,6 +254,15 @@
         adapter::composeTargetRequest(m_request.head, terms, m_request.body.size())
             + m_request.body,
         isRepeatable ? AnyIdle : FreshConnection, std::move(handlers));
+    telemetry::logInfo("request", "Sent.",
+        { { "id", m_terms.attempt.text() }, { "attempt", std::to_string(m_attempts) },
+            { "step", std::string(StepNames[static_cast<size_t>(step)]) },
+            { "target", target.id.text() }, { "address", target.address.text() },
+            { "tokens", std::to_string(load.tokensToRead()) },
+            { "urgency", terms.priority ? std::to_string(*terms.priority) : "" },
+            { "fetch", terms.fetchPartsFrom ? terms.fetchPartsFrom->text() : "" },
+            { "kept_connection", m_attempt->exchange->isSent() ? "yes" : "no" },
+            { "left_ms", text(terms.timeLeft) } });
 }
 
 void RequestRun::tryAgain(bool mayHaveRun, std::string_view cause)
--- a/libs/channels/src/ConnectionPool.cpp
+++ b/libs/channels/src/ConnectionPool.cpp
@@ -221,9 +221,12 @@
     // The one used last is the least likely to be closed by the peer now.
     while (!connections.empty()) {
         PooledPointer pooled = connections.back();
-        connections.pop_back();
         const SteadyTime::duration age = now - pooled->idleSince;
-        if (age < pooled->idleLifetime && age < oldestIdle)
+        // Too old for this request is not too old for others.
+        if (age < pooled->idleLifetime && age >= oldestIdle)
+            return nullptr;
+        connections.pop_back();
+        if (age < pooled->idleLifetime)
             return pooled;
         pooled->connection->close();
     }
--- a/libs/channels/tests/ChannelTests.cpp
+++ b/libs/channels/tests/ChannelTests.cpp
@@ -216,3 +216,27 @@
     ConnectionPool pool(loop, {});
     cr_assert(runExchange(loop, pool, address).end == ExchangeEnd::NotSent);
 }
+
+Test(exchanges, too_old_for_one_request_leaves_a_connection_for_others)
+{
+    RawServer server;
+    constexpr std::string_view Answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    std::jthread peer([&] {
+        const int first = server.acceptOne();
+        RawServer::readHead(first);
+        RawServer::send(first, Answer);
+        const int second = server.acceptOne();
+        RawServer::readHead(second);
+        RawServer::readHead(first);
+        RawServer::send(first, Answer);
+        close(first);
+        close(second);
+    });
+    EventLoop loop;
+    ConnectionPool pool(loop, {});
+    cr_assert(runExchange(loop, pool, server.address()).end == ExchangeEnd::Complete);
+    const ExchangePointer unanswered
+        = pool.start({ server.address(), "life" }, Request, Milliseconds(0), {});
+    cr_assert(runExchange(loop, pool, server.address()).end == ExchangeEnd::Complete);
+    cr_assert_eq(pool.connectionsMade(), 2U, "One each, and none for the third request.");
+}
