No survey of caches when the whole system starts for the first time

Change: the template says when the whole system starts for the first time; then nothing is asked. Ruled out: not asking after a restart, which is what the survey is for.

--- a/apps/gateway/CacheSurvey.cpp
+++ b/apps/gateway/CacheSurvey.cpp
@@ -23,7 +23,7 @@
 
 void CacheSurvey::start()
 {
-    if (std::exchange(m_isStarted, true))
+    if (std::exchange(m_isStarted, true) || m_context.settings.isFirstStart)
         return;
     for (const auto& [id, state] : m_context.directory.targets()) {
         if (state.entry.role)
--- a/apps/gateway/CacheSurvey.h
+++ b/apps/gateway/CacheSurvey.h
@@ -11,7 +11,8 @@
 class CacheSurvey {
 public:
     explicit CacheSurvey(GatewayContext& context);
-    /** Asks the engines known now, one after the other; later calls do nothing. */
+    /** Asks the engines known now, one after the other; later calls do nothing, and neither does
+     * one in a system that starts for the first time. */
     void start();
 
 private:
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -252,6 +252,8 @@
     /** From the signal to stop until the process is killed. */
     Milliseconds stopGrace { 8000 };
     RetryLimits retries;
+    /** The whole system starts for the first time, so that no engine has any work behind it. */
+    bool isFirstStart = false;
 };
 
 /** Settings of the sidecar beside a model engine. */
--- a/libs/settings/src/PlatformProcesses.cpp
+++ b/libs/settings/src/PlatformProcesses.cpp
@@ -10,7 +10,7 @@
 
     constexpr double MsPerSecond = 1000;
 
-    constexpr std::array<KeyRule, 10> GatewayRules {
+    constexpr std::array<KeyRule, 11> GatewayRules {
         KeyRule { "", "id", ValueKind::Text, true },
         KeyRule { "", "zone", ValueKind::Text, true },
         KeyRule { "", "callers", ValueKind::Address, true },
@@ -21,6 +21,7 @@
         KeyRule { "", "retry_share", ValueKind::Real, true, 0, 10 },
         KeyRule { "", "retry_fixed_part", ValueKind::Real, true, 0, 1e6 },
         KeyRule { "", "retry_window_s", ValueKind::Real, true, 0.1, 3600 },
+        KeyRule { "", "first_start", ValueKind::Flag, false },
     };
 
     constexpr std::array<KeyRule, 5> SidecarRules {
@@ -62,6 +63,7 @@
     gateway.retries.share = reader.real("retry_share", 0);
     gateway.retries.fixedPart = reader.real("retry_fixed_part", 0);
     gateway.retries.window = seconds(reader, "retry_window_s");
+    gateway.isFirstStart = reader.flag("first_start", false);
     return gateway;
 }
 
--- a/libs/settings/tests/PlatformProcessesTests.cpp
+++ b/libs/settings/tests/PlatformProcessesTests.cpp
@@ -52,3 +52,10 @@
     }
     cr_assert(isUnreadable);
 }
+
+Test(gateway_settings, know_the_first_start_of_the_whole_system)
+{
+    cr_assert_not(parseGatewaySettings({ "gateway.toml", Gateway }).isFirstStart);
+    const std::string first = std::string(Gateway) + "first_start = true\n";
+    cr_assert(parseGatewaySettings({ "gateway.toml", first }).isFirstStart);
+}
