Work that may run once takes a new connection to a target that has just failed

Ruled out: always new connections (a third more of them, and they are dear there). Change: a target with a failure since its last success gets new connections for such work. The test fails without it (run).

--- a/apps/gateway/RequestRun.cpp
+++ b/apps/gateway/RequestRun.cpp
@@ -250,10 +250,14 @@
             self->onEnd(end);
     };
     const bool isRepeatable = step == Step::ReadPrompt || m_route->mayRepeat();
+    const dispatch::TargetState* state = m_context.directory.find(target.id);
+    // A target that has just failed may be gone; a new connection shows it before anything is sent.
+    const bool isSuspect = state && state->failuresInRow > 0;
+    const Milliseconds fresh = isSuspect ? Milliseconds(0) : FreshConnection;
     m_attempt->exchange = m_context.targets.start({ target.address, target.id.text() },
         adapter::composeTargetRequest(m_request.head, terms, m_request.body.size())
             + m_request.body,
-        isRepeatable ? AnyIdle : FreshConnection, std::move(handlers));
+        isRepeatable ? AnyIdle : fresh, std::move(handlers));
     telemetry::logInfo("request", "Sent.",
         { { "id", m_terms.attempt.text() }, { "attempt", std::to_string(m_attempts) },
             { "step", std::string(StepNames[static_cast<size_t>(step)]) },
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -48,6 +48,8 @@
     std::vector<SeenRequest> seen() const;
     /** @return how many requests a target got. */
     size_t seenBy(const std::string& target) const;
+    /** @return connections that the first target has accepted. */
+    size_t connectionsOfFirst() const { return m_targets.front()->connections(); }
     /** Waits until a condition holds; the test fails when it never does. */
     static void waitUntil(const std::function<bool()>& condition);
 
--- a/apps/gateway/tests/GatewayTests.cpp
+++ b/apps/gateway/tests/GatewayTests.cpp
@@ -388,3 +388,33 @@
     cr_assert_not(answered.headers.find("X-Server-Stamp").has_value());
     cr_assert_eq(fixture.seen().size(), 2U);
 }
+
+Test(at_most_once, work_goes_to_a_target_that_has_just_failed_over_a_new_connection)
+{
+    GatewayFixture fixture;
+    fixture.addRoute("/again/", Repeatable);
+    fixture.addRoute("/once/", AtMostOnce);
+    fixture.declare(1);
+    std::atomic<int> together { 0 };
+    fixture.addTarget("one", "app", [&](const FakeRequest& request, FakeConnection& connection) {
+        if (request.head.target == "/again/together") {
+            together += 1;
+            GatewayFixture::waitUntil([&] { return together == 2; });
+        }
+        if (request.head.target == "/again/crash")
+            connection.reset();
+        else
+            answerSigned(request, connection);
+    });
+    fixture.start();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
+    // Two connections are kept; then one of them breaks.
+    std::jthread other([&] { ask(fixture, requestText("GET", "/again/together", "a1")); });
+    ask(fixture, requestText("GET", "/again/together", "a2"));
+    other.join();
+    cr_assert_eq(fixture.connectionsOfFirst(), 2U);
+    ask(fixture, requestText("GET", "/again/crash", "a3"));
+    const size_t before = fixture.connectionsOfFirst();
+    cr_assert_eq(ask(fixture, requestText("POST", "/once/x", "a4")).status, 200U);
+    cr_assert_eq(fixture.connectionsOfFirst(), before + 1);
+}
--- a/fakes/fleet/FakeHttpServer.cpp
+++ b/fakes/fleet/FakeHttpServer.cpp
@@ -90,6 +90,7 @@
         const int descriptor = accept(m_listener, nullptr, nullptr);
         if (descriptor < 0)
             continue;
+        m_accepted += 1;
         std::lock_guard lock(m_mutex);
         m_descriptors.push_back(descriptor);
         m_threads.emplace_back([this, descriptor] { serve(descriptor); });
--- a/fakes/fleet/FakeHttpServer.h
+++ b/fakes/fleet/FakeHttpServer.h
@@ -50,6 +50,8 @@
     FakeHttpServer& operator=(const FakeHttpServer&) = delete;
 
     fleet::Address address() const { return { "127.0.0.1", m_port }; }
+    /** @return connections accepted so far. */
+    size_t connections() const noexcept { return m_accepted; }
 
 private:
     void acceptAll();
@@ -59,6 +61,7 @@
     uint16_t m_port = 0;
     int m_listener;
     std::atomic<bool> m_isStopping { false };
+    std::atomic<size_t> m_accepted { 0 };
     std::mutex m_mutex;
     std::vector<int> m_descriptors;
     std::vector<std::jthread> m_threads;
