--- a/apps/gateway/RequestRun.h
+++ b/apps/gateway/RequestRun.h
@@ -45,6 +45,7 @@
 private:
     /** What an attempt asks of its target. */
     enum class Step : uint8_t { RunWhole, ReadPrompt, MakeTokens };
+    static std::string_view nameOf(Step step);
     /** What is known of an attempt when it is over. */
     enum class Outcome : uint8_t { Served, FailedByTarget, NotExecuted, NotSent, Unknown };
 
--- a/apps/gateway/RequestRunAnswers.cpp
+++ b/apps/gateway/RequestRunAnswers.cpp
@@ -77,11 +77,13 @@
     const Outcome outcome = judge(end);
     constexpr std::array<std::string_view, 5> Names { "served", "failed_by_target", "not_executed",
         "not_sent", "unknown" };
+    constexpr std::array<std::string_view, 3> Ends { "complete", "not_sent", "broken" };
     telemetry::logInfo("request", "Attempt ended.",
         { { "id", m_terms.attempt.text() }, { "attempt", std::to_string(m_attempt->number) },
             { "target", m_attempt->target.id.text() },
             { "outcome", std::string(Names[static_cast<size_t>(outcome)]) },
             { "status", std::to_string(m_attempt->head ? m_attempt->head->status : 0) },
+            { "end", std::string(Ends[static_cast<size_t>(end)]) },
             { "took_ms", text(since(m_attempt->startedAt)) } });
     const bool isRun = m_attempt->step != Step::ReadPrompt;
     if (isRun && outcome == Outcome::Unknown && end == channels::ExchangeEnd::Broken)
--- /dev/null
+++ b/apps/gateway/RequestRunEnds.cpp
@@ -0,0 +1,183 @@
+// How a request goes on after an attempt, and how it ends without a target's answer.
+#include "Durations.h"
+#include "RequestRun.h"
+#include "Statuses.h"
+#include "telemetry/Telemetry.h"
+
+namespace citronspoke::gateway {
+
+namespace {
+
+    /** Attempts for one request, also those that no target ran. */
+    constexpr uint32_t MostAttempts = 5;
+    /** Less time than this is not worth another attempt. */
+    constexpr Milliseconds ShortestAttempt { 20 };
+    /** For what may be over in a moment, such as a target that is full. */
+    constexpr Milliseconds ShortRetryAfter { 250 };
+
+    std::string_view reasonOf(uint32_t status)
+    {
+        switch (status) {
+        case BadRequest:
+            return "Bad Request";
+        case NotFound:
+            return "Not Found";
+        case BadGateway:
+            return "Bad Gateway";
+        case Unavailable:
+            return "Service Unavailable";
+        case GatewayTimeout:
+            return "Gateway Timeout";
+        default:
+            return "Error";
+        }
+    }
+
+} // namespace
+
+void RequestRun::tryAgain(bool mayHaveRun, std::string_view cause)
+{
+    std::string_view obstacle;
+    const bool isSent = m_attempt->exchange->isSent();
+    // A run that is begun again has its prompt read again first.
+    const bool readsAgain = mayHaveRun && m_attempt->step == Step::MakeTokens;
+    const uint32_t sends = (isSent ? 1 : 0) + (readsAgain ? 1 : 0);
+    const bool isAllowed = !mayHaveRun || m_route->mayRepeat();
+    if (!isAllowed)
+        obstacle = "it may have run and may not be repeated";
+    if (isAllowed && mayTryAgain(sends, obstacle)) {
+        sendNext();
+        return;
+    }
+    telemetry::logInfo("request", "No further attempt.",
+        { { "id", m_terms.attempt.text() }, { "cause", std::string(cause) },
+            { "obstacle", std::string(obstacle) } });
+    if (m_ranOn.empty())
+        refuse(Unavailable, cause, ShortRetryAfter);
+    else
+        fail(cause);
+}
+
+bool RequestRun::mayTryAgain(uint32_t sends, std::string_view& obstacle)
+{
+    if (m_attempts >= MostAttempts)
+        obstacle = "too many attempts";
+    else if (m_context.crashes.bannedFor(m_fingerprint))
+        obstacle = "it has crashed its targets";
+    else if (m_ranOn.size() >= m_route->targetLimit)
+        obstacle = "the route's limit of targets";
+    else if (timeLeft() < ShortestAttempt)
+        obstacle = "no time left";
+    else if (sends > 0 && !m_context.retries.trySpend(m_pool->id, sends, steadyNow()))
+        obstacle = "the retry allowance is spent";
+    return obstacle.empty();
+}
+
+void RequestRun::onDeadline()
+{
+    if (m_isOver)
+        return;
+    const bool isRunning = m_attempt && m_attempt->step != Step::ReadPrompt && m_attempt->exchange
+        && m_attempt->exchange->isSent();
+    if (m_hasBegunAnswer) {
+        finish("broken", 0, "deadline");
+        m_writer->abort();
+        return;
+    }
+    if (m_ranOn.empty() && !isRunning) {
+        refuse(Unavailable, "deadline", ShortRetryAfter);
+        return;
+    }
+    if (m_targetFailure) {
+        passOn(*m_targetFailure);
+        return;
+    }
+    m_writer->respond(GatewayTimeout, reasonOf(GatewayTimeout), {}, {});
+    finish("timed_out", GatewayTimeout, "deadline");
+}
+
+void RequestRun::refuse(uint32_t status, std::string_view cause, Milliseconds retryAfter)
+{
+    http1::Headers headers;
+    if (status == Unavailable)
+        headers.add("Retry-After", secondsText(retryAfter));
+    m_writer->respond(status, reasonOf(status), headers, {});
+    finish("refused", status, cause);
+}
+
+void RequestRun::fail(std::string_view cause)
+{
+    if (m_targetFailure && !m_hasBegunAnswer) {
+        passOn(*m_targetFailure);
+        return;
+    }
+    finish(m_hasBegunAnswer ? "broken" : "failed", BadGateway, cause);
+    if (m_hasBegunAnswer)
+        m_writer->abort();
+    else
+        m_writer->respond(BadGateway, reasonOf(BadGateway), {}, {});
+}
+
+void RequestRun::finish(std::string_view outcome, uint32_t status, std::string_view cause)
+{
+    m_isOver = true;
+    m_deadlineTimer.cancel();
+    std::string step;
+    std::string stepTime;
+    if (m_attempt) {
+        step = nameOf(m_attempt->step);
+        stepTime = text(since(m_attempt->startedAt));
+        if (m_attempt->step == Step::ReadPrompt && m_attempt->load != dispatch::Load {})
+            m_context.ledger.noteNotRead(m_attempt->target.id, m_terms.prompt->parts);
+        endAttempt(dispatch::AttemptResult::Served);
+        if (m_attempt->exchange)
+            m_attempt->exchange->cancel();
+    }
+    freePrompt();
+    const std::string route = m_route ? m_route->name : "";
+    telemetry::logInfo("request", "Finished.",
+        { { "id", m_terms.attempt.text() }, { "route", route }, { "outcome", std::string(outcome) },
+            { "status", std::to_string(status) }, { "cause", std::string(cause) },
+            { "attempts", std::to_string(m_attempts) }, { "last_step", step },
+            { "last_target", m_attempt ? m_attempt->target.id.text() : "" },
+            { "last_step_ms", stepTime }, { "took_ms", text(age()) } });
+    telemetry::count("requests", { { "outcome", std::string(outcome) } });
+    telemetry::observe("request_duration", since(m_request.receivedAt));
+}
+
+void RequestRun::endAttempt(dispatch::AttemptResult result)
+{
+    if (m_attempt->load == dispatch::Load {})
+        return;
+    m_context.noteFinished(m_attempt->target.id, m_attempt->load);
+    m_attempt->load = {};
+    if (!m_isOver)
+        m_context.directory.noteResult(m_attempt->target.id, result, steadyNow());
+}
+
+void RequestRun::freePrompt()
+{
+    if (!m_prompt)
+        return;
+    const fleet::TargetEntry& reader = m_prompt->reader;
+    constexpr Milliseconds FreeLimit { 1000 };
+    // The call owns itself until it ends; a handle that stays lapses by itself.
+    const std::shared_ptr<std::shared_ptr<void>> own = std::make_shared<std::shared_ptr<void>>();
+    *own = channels::call(m_context.loop, m_context.targets, { reader.address, reader.id.text() },
+        adapter::composeCall(adapter::freeHandleCall(m_prompt->handle), reader.address), FreeLimit,
+        [own](const std::optional<channels::CallAnswer>& answer) {
+            if (!answer)
+                telemetry::logWarning("request", "A prompt's cache was not freed.");
+            const std::shared_ptr<void> finished = std::exchange(*own, nullptr);
+        });
+    m_prompt.reset();
+}
+
+void RequestRun::callerLeft()
+{
+    if (m_isOver)
+        return;
+    finish("caller_left", 0, "the caller closed its connection");
+}
+
+} // namespace citronspoke::gateway
--- /dev/null
+++ b/apps/gateway/Statuses.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+
+/** The gateway's own answers. */
+namespace citronspoke::gateway {
+
+inline constexpr uint32_t BadRequest = 400;
+inline constexpr uint32_t NotFound = 404;
+inline constexpr uint32_t BadGateway = 502;
+inline constexpr uint32_t Unavailable = 503;
+inline constexpr uint32_t GatewayTimeout = 504;
+
+} // namespace citronspoke::gateway
