Decisions in constant time for each engine: a benchmark, and an index of who holds a part

Ruled out: asking fewer engines (it changes decisions; for pools of hundreds it is the next step). Change: the sum of peers' loads is kept; silent peers are looked for every 100 ms; the ledger knows the holders of each part. A test compares the index with the plain ledger over 3,000 random steps.

--- /dev/null
+++ b/bench/decision-bench/main.cpp
@@ -0,0 +1,119 @@
+// Processor time of single decisions, at today's size and at that of the growth target.
+#include "dispatch/Dispatch.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace citronspoke;
+using namespace citronspoke::dispatch;
+
+namespace {
+
+const PoolId Pool("engines");
+constexpr SteadyTime Now { std::chrono::hours(1) };
+constexpr uint64_t Capacity = 450000;
+
+/** A gateway's view of engines that have read many prompts and are loaded by other gateways. */
+struct View {
+    explicit View(int64_t engines)
+    {
+        for (int64_t index = 0; index < engines; ++index) {
+            fleet::TargetEntry entry;
+            entry.id = TargetId("i-" + std::to_string(1000000 + index));
+            entry.pool = Pool;
+            entry.address = { "10.0.0." + std::to_string(index), 80 };
+            entry.zone = ZoneId("zone-" + std::to_string(index % 3));
+            entry.slots = 64;
+            entry.role = EngineRole::Prefill;
+            directory.put(entry);
+            for (int peer = 0; peer < 4; ++peer) {
+                Load load { 2, {}, 20000 };
+                load.promptTokens[static_cast<size_t>(index + peer) % UrgencyLevels] = 4000;
+                directory.notePeerLoad(entry.id, EntryId("g-" + std::to_string(peer)), load, Now);
+            }
+            for (int part = 0; part < 20; ++part) {
+                const std::vector<fleet::PromptPart> parts {
+                    { "shared-" + std::to_string((index * 20 + part) % 300), 8000 }
+                };
+                ledger.noteRead(entry.id, Capacity, parts);
+            }
+        }
+        speed.noteRead(10000, 0, Milliseconds(300));
+    }
+
+    TargetDirectory directory;
+    CacheLedger ledger;
+    ReadSpeed speed;
+};
+
+fleet::Prompt promptWith(const std::string& shared)
+{
+    return { "m", 9000, 20, { { shared, 8000 }, { "own", 1000 } } };
+}
+
+void placePromptAmong(benchmark::State& state)
+{
+    View view(state.range(0));
+    const fleet::Prompt prompt = promptWith("shared-7");
+    const PromptGoal goal { 1, Milliseconds(600), ZoneId("zone-1") };
+    for (auto _ : state) {
+        const std::vector<TargetState*> engines = view.directory.usable(Pool, Now);
+        benchmark::DoNotOptimize(
+            placePrompt(engines, engines, prompt, goal, view.ledger, view.speed, {}, Now));
+    }
+}
+
+void chooseMakerAmong(benchmark::State& state)
+{
+    View view(state.range(0));
+    for (auto _ : state) {
+        const std::vector<TargetState*> engines = view.directory.usable(Pool, Now);
+        benchmark::DoNotOptimize(chooseTokenMaker(engines, {}, ZoneId("zone-1"), Now));
+    }
+}
+
+void chooseTargetAmong(benchmark::State& state)
+{
+    View view(state.range(0));
+    for (auto _ : state) {
+        const std::vector<TargetState*> targets = view.directory.usable(Pool, Now);
+        benchmark::DoNotOptimize(chooseTarget(targets, {}, ZoneId("zone-1"), 0.4, Now));
+    }
+}
+
+/** What a retry must pass, with a window full of requests. */
+void spendRetry(benchmark::State& state)
+{
+    RetryAllowance allowance({ 0.2, 58, Milliseconds(10000) }, SteadyTime {});
+    allowance.updateEntries(5);
+    SteadyTime now = Now;
+    for (auto _ : state) {
+        now += Milliseconds(10);
+        allowance.noteRequest(Pool, now);
+        benchmark::DoNotOptimize(allowance.trySpend(Pool, 1, now));
+    }
+}
+
+void matchRoute(benchmark::State& state)
+{
+    fleet::Declaration declaration;
+    for (int64_t index = 0; index < state.range(0); ++index) {
+        fleet::Route route;
+        route.host = "site.example";
+        route.prefix = "/r" + std::to_string(index) + "/";
+        route.pools.push_back({ Pool, 1 });
+        declaration.routes.push_back(route);
+    }
+    const RouteTable table(std::move(declaration));
+    for (auto _ : state)
+        benchmark::DoNotOptimize(table.match("site.example", "/r7/x"));
+}
+
+} // namespace
+
+BENCHMARK(placePromptAmong)->Arg(12)->Arg(44)->Arg(210)->Arg(840);
+BENCHMARK(chooseMakerAmong)->Arg(2)->Arg(12)->Arg(140);
+BENCHMARK(chooseTargetAmong)->Arg(3)->Arg(44)->Arg(840);
+BENCHMARK(spendRetry);
+BENCHMARK(matchRoute)->Arg(17)->Arg(400);
+
+BENCHMARK_MAIN();
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -80,8 +80,9 @@
     fleet::TargetEntry entry;
     /** Work that this process has sent and that is not finished. */
     Load own;
-    /** Work of the other entries, as they last said. */
+    /** Work of the other entries, as they last said, and its sum. */
     std::map<EntryId, PeerLoad> peers;
+    Load peersTogether;
     /** Work can be sent without a new connection. */
     bool isConnected = false;
     uint32_t failuresInRow = 0;
@@ -137,8 +138,10 @@
 
 private:
     void settleAddress(const TargetState& newcomer);
+    void forgetSilentPeers(SteadyTime now);
 
     std::map<TargetId, TargetState> m_targets;
+    SteadyTime m_silenceCheckedAt {};
 };
 
 /**
@@ -173,6 +176,10 @@
     /** The engine is gone or has started again and holds nothing. */
     void forget(const TargetId& engine);
     Holding holding(const TargetId& engine, std::span<const fleet::PromptPart> parts) const;
+    /** What the engines that have something of a prompt have of it, by the engines' ids. */
+    using Holdings = std::unordered_map<std::string_view, Holding>;
+    /** @return valid until the ledger changes. */
+    Holdings holdings(std::span<const fleet::PromptPart> parts) const;
 
 private:
     struct Part {
@@ -188,8 +195,12 @@
     };
     void note(const TargetId& engine, uint64_t capacityTokens,
         std::span<const fleet::PromptPart> parts, bool isReady);
+    static Holding holdingIn(const EngineCache& cache, std::span<const fleet::PromptPart> parts);
+    void dropHolder(const std::string& part, const std::string& engine);
 
-    std::map<TargetId, EngineCache> m_engines;
+    std::unordered_map<std::string, EngineCache> m_engines;
+    /** The engines that have a part. */
+    std::unordered_map<std::string, std::set<std::string>> m_holders;
 };
 
 /** Where a prompt is read. */
--- a/libs/dispatch/src/PromptPlacement.cpp
+++ b/libs/dispatch/src/PromptPlacement.cpp
@@ -52,14 +52,20 @@
         uint64_t tokens = 0;
     };
 
-    Source bestSource(std::span<TargetState* const> holders, const fleet::Prompt& prompt,
-        const CacheLedger& ledger, SteadyTime now)
+    CacheLedger::Holding holdingOf(const CacheLedger::Holdings& holdings, const TargetState& engine)
+    {
+        const auto found = holdings.find(engine.entry.id.text());
+        return found == holdings.end() ? CacheLedger::Holding {} : found->second;
+    }
+
+    Source bestSource(std::span<TargetState* const> holders, const CacheLedger::Holdings& holdings,
+        SteadyTime now)
     {
         Source best;
         for (const TargetState* holder : holders) {
             if (holder->avoidUntil > now)
                 continue;
-            const uint64_t ready = ledger.holding(holder->entry.id, prompt.parts).ready;
+            const uint64_t ready = holdingOf(holdings, *holder).ready;
             if (ready > best.tokens)
                 best = { holder, ready };
         }
@@ -123,7 +129,8 @@
     const CacheLedger& ledger, const ReadSpeed& speed, const std::set<TargetId>& tried,
     SteadyTime now)
 {
-    const Source source = bestSource(holders, prompt, ledger, now);
+    const CacheLedger::Holdings holdings = ledger.holdings(prompt.parts);
+    const Source source = holdings.empty() ? Source {} : bestSource(holders, holdings, now);
     const std::string_view key = sharedKey(prompt);
     const uint64_t shared = sharedTokens(prompt);
     // Only parts that no engine has need a home.
@@ -135,8 +142,8 @@
     for (TargetState* reader : readers) {
         if (tried.contains(reader->entry.id))
             continue;
-        const uint64_t held = std::min<uint64_t>(
-            prompt.tokens, ledger.holding(reader->entry.id, prompt.parts).expected);
+        const uint64_t held
+            = std::min<uint64_t>(prompt.tokens, holdingOf(holdings, *reader).expected);
         const bool fetches = source.engine && source.engine != reader && source.tokens > held;
         const uint64_t start = fetches ? std::min<uint64_t>(prompt.tokens, source.tokens) : held;
         const uint64_t toRead = prompt.tokens - start;
--- a/libs/dispatch/src/TargetDirectory.cpp
+++ b/libs/dispatch/src/TargetDirectory.cpp
@@ -49,8 +49,7 @@
 Load TargetState::load() const
 {
     Load sum = own;
-    for (const auto& [peer, said] : peers)
-        sum += said.load;
+    sum += peersTogether;
     return sum;
 }
 
@@ -120,9 +119,22 @@
         const TargetState& state = item.second;
         return state.mayReturnUntil && now >= *state.mayReturnUntil;
     });
+    // Many times a second nothing has changed; a silence is noticed a little later.
+    constexpr Milliseconds CheckInterval { 100 };
+    if (now - m_silenceCheckedAt >= CheckInterval || now < m_silenceCheckedAt)
+        forgetSilentPeers(now);
+}
+
+void TargetDirectory::forgetSilentPeers(SteadyTime now)
+{
+    m_silenceCheckedAt = now;
     for (auto& [id, state] : m_targets) {
-        std::erase_if(state.peers,
-            [now](const auto& item) { return now - item.second.heardAt >= PeerSilence; });
+        std::erase_if(state.peers, [now, &state](const auto& item) {
+            const bool isSilent = now - item.second.heardAt >= PeerSilence;
+            if (isSilent)
+                state.peersTogether -= item.second.load;
+            return isSilent;
+        });
     }
 }
 
@@ -132,6 +144,10 @@
     TargetState* state = find(id);
     if (!state)
         return;
+    const auto before = state->peers.find(peer);
+    if (before != state->peers.end())
+        state->peersTogether -= before->second.load;
+    state->peersTogether += load;
     if (load == Load {})
         state->peers.erase(peer);
     else
--- a/libs/dispatch/tests/PromptPlacementTests.cpp
+++ b/libs/dispatch/tests/PromptPlacementTests.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/Dispatch.h"
 
 #include <criterion/criterion.h>
+#include <random>
 
 using namespace citronspoke;
 using namespace citronspoke::dispatch;
@@ -229,3 +230,45 @@
     cr_assert(chooseTokenMaker(makers, { TargetId("engine-1") }, ZoneId(), Now)->entry.id
         == TargetId("engine-2"));
 }
+
+Test(cache_ledger, finds_all_holders_whatever_was_sent_read_dropped_and_forgotten)
+{
+    constexpr int Engines = 6;
+    constexpr int Parts = 12;
+    constexpr uint64_t SmallCapacity = 500;
+    const auto part = [](int number) {
+        return fleet::PromptPart { "part-" + std::to_string(number), 100 };
+    };
+    std::mt19937 random(7);
+    CacheLedger ledger;
+    for (int step = 0; step < 3000; ++step) {
+        const TargetId engine("engine-" + std::to_string(random() % Engines));
+        const std::vector<fleet::PromptPart> parts { part(static_cast<int>(random() % Parts)),
+            part(static_cast<int>(random() % Parts)) };
+        switch (random() % 8) {
+        case 0:
+            ledger.forget(engine);
+            break;
+        case 1:
+            ledger.noteNotRead(engine, parts);
+            break;
+        case 2:
+        case 3:
+            ledger.noteSent(engine, SmallCapacity, parts);
+            break;
+        default:
+            ledger.noteRead(engine, SmallCapacity, parts);
+            break;
+        }
+        const CacheLedger::Holdings holdings = ledger.holdings(parts);
+        for (int index = 0; index < Engines; ++index) {
+            const TargetId each("engine-" + std::to_string(index));
+            const CacheLedger::Holding alone = ledger.holding(each, parts);
+            const auto found = holdings.find(each.text());
+            cr_assert_eq(found == holdings.end(), alone.expected == 0);
+            if (found != holdings.end())
+                cr_assert(
+                    found->second.ready == alone.ready && found->second.expected == alone.expected);
+        }
+    }
+}
