--- a/apps/gateway/CrashWatch.cpp
+++ b/apps/gateway/CrashWatch.cpp
@@ -78,6 +78,7 @@
     }
     fingerprints.insert(m_convicted.begin(), m_convicted.end());
     std::vector<peers::CrashReport> reports;
+    reports.reserve(fingerprints.size());
     for (const uint64_t fingerprint : fingerprints)
         reports.push_back({ fingerprint, m_ledger.crashesOf(fingerprint) });
     return reports;
--- a/apps/gateway/tests/StreamTests.cpp
+++ b/apps/gateway/tests/StreamTests.cpp
@@ -215,8 +215,8 @@
         GatewayFixture::waitUntil([&] { return fixture.wasSurveyed(id); });
     GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
     for (const auto& [part, tokens] : parts) {
-        const std::string lines = "X-Model: m\r\nX-Token-Counts: 8100,8\r\nX-Prefix-Hash: " + part
-            + ":8000,own" + part + ":100\r\n";
+        std::string lines = "X-Model: m\r\nX-Token-Counts: 8100,8\r\nX-Prefix-Hash: ";
+        lines.append(part).append(":8000,own").append(part).append(":100\r\n");
         cr_assert(ask(fixture, requestText("POST", "/s/x", part, lines, "prompt")).isWhole);
     }
     size_t reads = 0;
--- a/libs/dispatch/src/TargetDirectory.cpp
+++ b/libs/dispatch/src/TargetDirectory.cpp
@@ -129,10 +129,11 @@
 {
     m_silenceCheckedAt = now;
     for (auto& [id, state] : m_targets) {
-        std::erase_if(state.peers, [now, &state](const auto& item) {
+        Load& together = state.peersTogether;
+        std::erase_if(state.peers, [now, &together](const auto& item) {
             const bool isSilent = now - item.second.heardAt >= PeerSilence;
             if (isSilent)
-                state.peersTogether -= item.second.load;
+                together -= item.second.load;
             return isSilent;
         });
     }
--- a/libs/emulator/src/Play.cpp
+++ b/libs/emulator/src/Play.cpp
@@ -1,6 +1,7 @@
 #include "EmulatedGateway.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace citronspoke::emulator {
 
@@ -16,6 +17,8 @@
 
     const PoolId Pool("engines");
 
+    size_t rounded(double count) { return static_cast<size_t>(std::lround(count)); }
+
     /** What one arrival came to. */
     struct Result {
         std::optional<Micros> firstToken;
@@ -114,8 +117,7 @@
 
         void schedule(const SlowLinks& slow)
         {
-            const size_t count = static_cast<size_t>(
-                slow.share * static_cast<double>(m_fleet.engines.size()) + 0.5);
+            const size_t count = rounded(slow.share * static_cast<double>(m_fleet.engines.size()));
             const auto set = [this, count](double factor) {
                 // Spread over the engines, so that makers and readers are among them.
                 for (size_t number = 0; number < count; ++number)
@@ -131,7 +133,7 @@
                 size_t left = 0;
                 for (const std::unique_ptr<EmulatedEngine>& engine : m_fleet.engines)
                     left += engine->entry().role == loss.role ? 1 : 0;
-                left = static_cast<size_t>(loss.share * static_cast<double>(left) + 0.5);
+                left = rounded(loss.share * static_cast<double>(left));
                 for (size_t index = 0; index < m_fleet.engines.size() && left > 0; ++index) {
                     if (m_fleet.engines[index]->entry().role != loss.role)
                         continue;
@@ -310,6 +312,7 @@
                 window.second += m_arrivals[index].worth;
             }
             std::vector<double> shares;
+            shares.reserve(windows.size());
             for (const auto& [number, window] : windows)
                 shares.push_back(window.first / window.second);
             std::sort(shares.begin(), shares.end());
--- a/tests/soak/SoakProcess.cpp
+++ b/tests/soak/SoakProcess.cpp
@@ -5,7 +5,7 @@
 
 namespace citronspoke::soak {
 
-SoakProcess::SoakProcess(std::string name, std::string program, std::string settings,
+SoakProcess::SoakProcess(std::string name, std::string program, const std::string& settings,
     const std::string& folder, RunHistory& history)
     : m_name(std::move(name))
     , m_program(std::move(program))
--- a/tests/soak/SoakProcess.h
+++ b/tests/soak/SoakProcess.h
@@ -9,7 +9,7 @@
 class SoakProcess {
 public:
     /** @param folder takes the settings file and the log. */
-    SoakProcess(std::string name, std::string program, std::string settings,
+    SoakProcess(std::string name, std::string program, const std::string& settings,
         const std::string& folder, RunHistory& history);
 
     const std::string& name() const noexcept { return m_name; }
--- a/tools/experiment/main.cpp
+++ b/tools/experiment/main.cpp
@@ -93,6 +93,7 @@
     const std::vector<Policy> policies { ExpectedFinish {}, HashedHomes {}, LeastOutstanding {},
         TwoChoices {}, RoundRobin {} };
     std::vector<std::string> names;
+    names.reserve(policies.size());
     for (const Policy& policy : policies)
         names.emplace_back(nameOf(policy));
     std::vector<Line> lines;
