--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -14,8 +14,6 @@
     constexpr Milliseconds WatchPollTimeout { 2000 };
     /** A small part of the time within which leaving targets must cease to get new work. */
     constexpr Milliseconds CoalesceTime { 250 };
-    /** May be long: after a missed role order the engine refuses work, which shows the change. */
-    constexpr Milliseconds RoleWatchPollTimeout { 5000 };
     /** Time for the process to exit before it would be killed. */
     constexpr Milliseconds ExitMargin { 400 };
 
@@ -53,13 +51,9 @@
               [this](const adapter::KeyChange& change, SteadyTime mayReturnUntil) {
                   onTargetChange(change, mayReturnUntil);
               } })
-    , m_roles(loop, m_storePool, fleet::requireAddress(settings.store),
-          { std::string(storefeed::RolePrefix),
-              storefeed::Watching { RoleWatchPollTimeout, Milliseconds(0) } },
-          { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onRoles(items); },
-              [this](const adapter::KeyChange& change, SteadyTime) { onRoleChange(change); } })
     , m_peers(m_context, m_storePool, fleet::requireAddress(settings.store),
           fleet::requireAddress(settings.operatorAddress))
+    , m_roles(m_context, m_peers)
     , m_cacheInventory(m_context)
     , m_listener(std::make_unique<channels::Listener>(loop, fleet::requireAddress(settings.callers),
           [this](channels::ConnectionPointer connection) { accept(std::move(connection)); }))
@@ -84,8 +78,8 @@
 {
     m_declarations.start();
     m_targets.start();
-    m_roles.start();
     m_peers.start();
+    m_roles.start();
 }
 
 void Gateway::onDeclaration(const adapter::StoreItem& item)
@@ -137,6 +131,15 @@
     startCacheInventory();
 }
 
+void Gateway::putTarget(const fleet::TargetRecord& record)
+{
+    const dispatch::TargetState* before = m_context.directory.find(record.id);
+    if (before && before->record.role != record.role)
+        m_context.reportedRoles.noteRecordChanged(record.id);
+    if (m_context.directory.put(record))
+        m_context.prefixCacheIndex.removeEngine(record.id);
+}
+
 void Gateway::startCacheInventory()
 {
     if (m_context.routes && m_context.directory.size() > 0)
@@ -162,8 +165,7 @@
         m_context.directory.remove(id, SteadyTime {}, steadyNow());
         return;
     }
-    if (m_context.directory.put(*record))
-        m_context.prefixCacheIndex.removeEngine(record->id);
+    putTarget(*record);
     telemetry::logInfo("targets", "A target record changed.",
         { { "target", record->id.text() }, { "pool", record->pool.text() },
             { "address", record->address.text() },
@@ -171,27 +173,6 @@
             { "role", record->role ? std::string(toText(*record->role)) : "" } });
 }
 
-void Gateway::onRoles(std::span<const adapter::StoreItem> items)
-{
-    m_context.orderedRoles.clear();
-    for (const adapter::StoreItem& item : items)
-        onRoleChange(adapter::KeyWritten { item });
-}
-
-void Gateway::onRoleChange(const adapter::KeyChange& change)
-{
-    const adapter::KeyWritten* written = std::get_if<adapter::KeyWritten>(&change);
-    if (!written)
-        return;
-    const TargetId engine(written->item.key.substr(storefeed::RolePrefix.size()));
-    const std::optional<EngineRole> role = engineRoleFromText(written->item.value);
-    if (!role)
-        return;
-    m_context.orderedRoles[engine] = *role;
-    telemetry::logInfo("targets", "An engine was ordered to take a role.",
-        { { "target", engine.text() }, { "role", written->item.value } });
-}
-
 void Gateway::accept(channels::ConnectionPointer connection)
 {
     const std::shared_ptr<std::weak_ptr<CallerConnection>> self
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -3,13 +3,14 @@
 #include "CacheInventory.h"
 #include "CallerConnection.h"
 #include "PeerGroup.h"
+#include "RoleCoordinator.h"
 
 namespace citronspoke::gateway {
 
 /**
- * The gateway on an entry VM: accepts callers' connections, follows the declaration, the targets
- * and the ordered roles in the store, reports readiness, and stops gracefully. Runs on the event
- * loop's thread.
+ * The gateway on an entry VM: accepts callers' connections, follows the declaration and the targets
+ * in the store, plans the engines' roles, reports readiness, and stops gracefully. Runs on the
+ * event loop's thread.
  */
 class Gateway {
 public:
@@ -32,8 +33,7 @@
     std::optional<fleet::TargetRecord> decodeTarget(const adapter::StoreItem& item) const;
     /** Does nothing until the declaration and the targets are known. */
     void startCacheInventory();
-    void onRoles(std::span<const adapter::StoreItem> items);
-    void onRoleChange(const adapter::KeyChange& change);
+    void putTarget(const fleet::TargetRecord& record);
     void accept(channels::ConnectionPointer connection);
     channels::StatusServer::Page readinessPage() const;
     void closeIdleConnections();
@@ -44,8 +44,8 @@
     channels::ConnectionPool m_storePool;
     storefeed::StoreFeed m_declarations;
     storefeed::StoreFeed m_targets;
-    storefeed::StoreFeed m_roles;
     PeerGroup m_peers;
+    RoleCoordinator m_roles;
     CacheInventory m_cacheInventory;
     std::unique_ptr<channels::Listener> m_listener;
     channels::StatusServer m_readinessServer;
--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -48,10 +48,11 @@
 std::vector<dispatch::TargetState*> GatewayContext::enginesInRole(
     const PoolId& pool, EngineRole role)
 {
-    std::vector<dispatch::TargetState*> engines = directory.usable(pool, steadyNow());
-    std::erase_if(engines, [this, role](const dispatch::TargetState* state) {
-        return state->record.role != role
-            || dispatch::withOrderedRole(state->record, orderedRoles).role != role;
+    const SteadyTime now = steadyNow();
+    std::vector<dispatch::TargetState*> engines = directory.usable(pool, now);
+    std::erase_if(engines, [this, role, now](const dispatch::TargetState* state) {
+        return reportedRoles.withReportedRole(state->record, now).role != role
+            || reportedRoles.isChanging(state->record, now);
     });
     return engines;
 }
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -2,6 +2,7 @@
 
 #include "CrashQuarantine.h"
 #include "dispatch/Dispatch.h"
+#include "roles/Roles.h"
 #include "settings/Settings.h"
 #include "storefeed/StoreFeed.h"
 
@@ -22,7 +23,9 @@
     dispatch::TargetDirectory directory;
     dispatch::PrefixCacheIndex prefixCacheIndex;
     std::map<PoolId, dispatch::PrefillSpeed> prefillSpeeds;
-    dispatch::OrderedRoles orderedRoles;
+    /** The demand of this gateway's requests. */
+    std::map<PoolId, roles::DemandMeter> demandMeters;
+    roles::ReportedRoles reportedRoles;
     dispatch::RetryBudget retryBudget;
     /** Requests that may crash the targets that run them. */
     CrashQuarantine crashQuarantine;
@@ -41,8 +44,8 @@
     void noteCachedParts(const TargetId& engine, std::span<const fleet::PromptPart> parts);
 
     /**
-     * @return the engines of a pool that are in a role and were not ordered to leave it; engines
-     *         that change their role refuse work for seconds.
+     * @return the engines of a pool that are in a role; not those that are changing it, because
+     *         they refuse work for seconds.
      */
     std::vector<dispatch::TargetState*> enginesInRole(const PoolId& pool, EngineRole role);
 
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -15,6 +15,8 @@
     constexpr Milliseconds CoalesceTime { 5 };
     /** A quarter of the time after which peers drop a report. */
     constexpr Milliseconds ResendInterval { 500 };
+    /** Four times the interval of the reports. */
+    constexpr Milliseconds DemandLifetime { 2000 };
     /** Longer than the users' window for retries, so that no part of the budget is spent twice. */
     constexpr Milliseconds GatewayCountRetention { 15000 };
 
@@ -199,29 +201,98 @@
         m_outbox.add(std::move(report));
         scheduleSend();
     }
+    for (const auto& [pool, meter] : m_context.demandMeters) {
+        m_outbox.add(peers::DemandReport { pool, meter.demand(steadyNow()) });
+        scheduleSend();
+    }
     // Counts that are no longer current expire here while no gateway is added or removed.
     if (m_recentGatewayCounts.size() > 1)
         updateGatewayCount();
     m_resendTimer.arm(ResendInterval, [this] { resendReports(); });
 }
 
+void PeerGroup::onUpdate(const peers::Update& update, SteadyTime now)
+{
+    for (const peers::LoadReport& report : update.loads)
+        m_context.directory.notePeerLoad(report.target, update.sender, report.load, now);
+    for (const TargetId& target : update.replaced)
+        m_context.directory.notePeerReportedReplaced(target, now);
+    for (const peers::CachedPartsReport& report : update.parts)
+        m_context.noteCachedParts(report.engine, report.parts);
+    for (const peers::CrashReport& report : update.crashes)
+        m_context.crashQuarantine.merge(report);
+    for (const uint64_t fingerprint : update.cleared)
+        m_context.crashQuarantine.mergeCleared(fingerprint);
+    for (const TargetId& target : update.unreachable)
+        m_context.directory.notePeerFailure(target, update.sender, now);
+    const bool isFromSidecar = !m_peers.contains(update.sender);
+    for (const roles::RoleReport& report : update.roles)
+        noteRoleReport(report, isFromSidecar, now);
+    for (const peers::DemandReport& report : update.demands) {
+        PeerDemand& demand = m_demands[update.sender];
+        demand.byPool[report.pool] = report.demand;
+        demand.receivedAt = now;
+    }
+}
+
+void PeerGroup::noteRoleReport(const roles::RoleReport& report, bool isFromSidecar, SteadyTime now)
+{
+    if (!m_context.reportedRoles.note(report, now))
+        return;
+    telemetry::logInfo("roles", "An engine's role was reported.",
+        { { "target", report.engine.text() }, { "role", std::string(toText(report.role)) },
+            { "changing", report.isChanging ? "yes" : "no" },
+            { "by", isFromSidecar ? "sidecar" : "gateway" } });
+    // A sidecar reports to the gateways that plan the role; they tell the others.
+    if (isFromSidecar) {
+        m_outbox.add(report);
+        scheduleSend();
+    }
+}
+
+void PeerGroup::noteUnreachable(const TargetId& target)
+{
+    m_outbox.addUnreachable(target);
+    scheduleSend();
+}
+
+roles::Demand PeerGroup::totalDemand(const PoolId& pool, SteadyTime now) const
+{
+    roles::Demand total;
+    const auto meter = m_context.demandMeters.find(pool);
+    if (meter != m_context.demandMeters.end())
+        total += meter->second.demand(now);
+    for (const auto& [peer, demand] : m_demands) {
+        const auto found = demand.byPool.find(pool);
+        if (found != demand.byPool.end() && now - demand.receivedAt <= DemandLifetime)
+            total += found->second;
+    }
+    return total;
+}
+
+std::vector<EntryId> PeerGroup::gateways() const
+{
+    std::vector<EntryId> ids;
+    for (const auto& [id, address] : m_peers)
+        ids.push_back(id);
+    return ids;
+}
+
+void PeerGroup::requestRole(
+    const fleet::Address& sidecar, const roles::RoleChange& change, size_t planners)
+{
+    m_port.send(sidecar,
+        peers::encode(
+            roles::RoleRequest { m_id, m_ownAddress, change, static_cast<uint32_t>(planners) }));
+}
+
 void PeerGroup::onDatagram(std::string_view datagram)
 {
     try {
         const peers::Update update = peers::decode(datagram);
         if (update.sender == m_id || !m_staleUpdateFilter.accept(update))
             return;
-        const SteadyTime now = steadyNow();
-        for (const peers::LoadReport& report : update.loads)
-            m_context.directory.notePeerLoad(report.target, update.sender, report.load, now);
-        for (const TargetId& target : update.replaced)
-            m_context.directory.notePeerReportedReplaced(target, now);
-        for (const peers::CachedPartsReport& report : update.parts)
-            m_context.noteCachedParts(report.engine, report.parts);
-        for (const peers::CrashReport& report : update.crashes)
-            m_context.crashQuarantine.merge(report);
-        for (const uint64_t fingerprint : update.cleared)
-            m_context.crashQuarantine.mergeCleared(fingerprint);
+        onUpdate(update, steadyNow());
     } catch (const peers::UpdateUnreadable& unreadable) {
         telemetry::logWarning("peers", unreadable.describe());
     }
--- a/apps/gateway/PeerGroup.h
+++ b/apps/gateway/PeerGroup.h
@@ -7,8 +7,8 @@
 
 /**
  * The gateways of the deployment: announces this one in the store under a lease, follows the
- * announcements of the others, and exchanges work in flight, cached prompt parts and crash reports
- * with them. Used by the event loop's thread only.
+ * announcements of the others, and exchanges work in flight, cached prompt parts, crash reports,
+ * roles and demand with them. Used by the event loop's thread only.
  */
 class PeerGroup {
 public:
@@ -24,7 +24,26 @@
     /** An engine has these prompt parts in its cache. */
     void noteCachedParts(const TargetId& engine, std::span<const fleet::PromptPart> parts);
 
+    /** A target could not be reached, or broke off its response. */
+    void noteUnreachable(const TargetId& target);
+    /** @return the demand of all gateways that reported lately, with this one's own. */
+    roles::Demand totalDemand(const PoolId& pool, SteadyTime now) const;
+    /** @return the ids of all gateways; this one's own included once it is announced. */
+    std::vector<EntryId> gateways() const;
+    /** Sends a request to a sidecar, which replies to this gateway. */
+    void requestRole(
+        const fleet::Address& sidecar, const roles::RoleChange& change, size_t planners);
+    const EntryId& id() const noexcept { return m_id; }
+
 private:
+    /** What a peer last reported of its demand. */
+    struct PeerDemand {
+        std::map<PoolId, roles::Demand> byPool;
+        SteadyTime receivedAt;
+    };
+
+    void onUpdate(const peers::Update& update, SteadyTime now);
+    void noteRoleReport(const roles::RoleReport& report, bool isFromSidecar, SteadyTime now);
     void onPeers(std::span<const adapter::StoreItem> items);
     void addPeer(const adapter::StoreItem& item);
     void updateGatewayCount();
@@ -47,6 +66,7 @@
     storefeed::StoreFeed m_feed;
     channels::DatagramPort m_port;
     std::map<EntryId, fleet::Address> m_peers;
+    std::map<EntryId, PeerDemand> m_demands;
     /** Recent numbers of gateways, each with the time at which it was last current. */
     std::map<uint32_t, SteadyTime> m_recentGatewayCounts;
     peers::Outbox m_outbox;
--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -158,6 +158,9 @@
         m_excludedTargets, steadyNow());
     if (!placement.engine)
         return false;
+    if (m_attempts == 0)
+        m_context.demandMeters[m_pool->id].notePrompt(
+            m_context.prefillSpeeds[m_pool->id].estimate(placement.tokensToPrefill), steadyNow());
     m_context.prefixCacheIndex.noteSent(
         placement.engine->record.id, m_pool->engine->cacheTokens, m_callerInfo.prompt->parts);
     adapter::TargetRequestFields fields;
@@ -176,8 +179,8 @@
 {
     const std::vector<dispatch::TargetState*> states
         = m_context.enginesInRole(m_pool->id, EngineRole::Decode);
-    dispatch::TargetState* state = dispatch::chooseDecodeEngine(
-        states, m_excludedTargets, m_prefilledPrompt->prefillEngine.zone, steadyNow());
+    dispatch::TargetState* state = dispatch::chooseDecodeEngine(states, m_excludedTargets,
+        m_prefilledPrompt->prefillEngine.zone, m_callerInfo.prompt->tokens, steadyNow());
     if (!state)
         return false;
     adapter::TargetRequestFields fields;
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -68,6 +68,7 @@
         SteadyTime startedAt;
         channels::ExchangePointer exchange;
         std::optional<http1::ResponseHead> head;
+        SteadyTime headReceivedAt;
         adapter::ResponseInfo responseInfo;
         std::string body;
         http1::EventSplitter splitter;
@@ -106,6 +107,8 @@
     void afterPrefill(Outcome outcome);
     void afterRun(Outcome outcome);
     void finishServed();
+    /** Adds a finished decode to the measured demand. */
+    void noteDecodeFinished();
     /** A target ran the request and responded with a failure of its own. */
     void afterTargetFailure();
     /** Forwards a target's response to the caller. */
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -41,6 +41,12 @@
     if (m_route->repeatability != fleet::Repeatability::Stream)
         return;
     m_attempt->isRelayed = true;
+    m_attempt->headReceivedAt = steadyNow();
+    if (m_attempt->step == Step::Decode) {
+        const dispatch::TargetState* state = m_context.directory.find(m_attempt->target.id);
+        m_context.demandMeters[m_pool->id].noteDecodeBegun(
+            since(m_attempt->startedAt), state ? state->load().requests : 1);
+    }
     telemetry::logInfo("request", "Answer begins.",
         { { "id", m_callerInfo.attempt.text() }, { "target", m_attempt->target.id.text() },
             { "took_ms", millisecondsText(since(m_attempt->startedAt)) },
@@ -129,10 +135,14 @@
                                                          : dispatch::AttemptResult::Refused);
         break;
     case Outcome::NotSent:
+        m_context.peers->noteUnreachable(m_attempt->target.id);
         endAttempt(dispatch::AttemptResult::Unreachable);
         break;
-    case Outcome::FailedByTarget:
     case Outcome::Unknown:
+        m_context.peers->noteUnreachable(m_attempt->target.id);
+        endAttempt(dispatch::AttemptResult::Failed);
+        break;
+    case Outcome::FailedByTarget:
         endAttempt(dispatch::AttemptResult::Failed);
         break;
     }
@@ -178,6 +188,7 @@
     m_excludedTargets.insert(m_attempt->target.id);
     switch (outcome) {
     case Outcome::Served:
+        noteDecodeFinished();
         m_prefilledPrompt.reset();
         finishServed();
         return;
@@ -198,6 +209,13 @@
     }
 }
 
+void RequestHandler::noteDecodeFinished()
+{
+    if (m_attempt->step == Step::Decode && m_attempt->isRelayed)
+        m_context.demandMeters[m_pool->id].noteDecodeFinished(since(m_attempt->headReceivedAt),
+            m_callerInfo.prompt->tokens, *m_pool->engine, steadyNow());
+}
+
 void RequestHandler::finishServed()
 {
     const uint32_t status = m_attempt->head->status;
--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -24,6 +24,7 @@
     : m_callersPort(m_ports.pick())
     , m_readinessPort(m_ports.pick())
     , m_operatorPort(m_ports.pick())
+    , m_sidecarPort(m_ports.pick())
 {
 }
 
@@ -96,6 +97,7 @@
     m_settings.readiness = host + std::to_string(m_readinessPort);
     m_settings.operatorAddress = host + std::to_string(m_operatorPort);
     m_settings.store = m_store.address().text();
+    m_settings.sidecarPort = m_sidecarPort;
     m_settings.stopGrace = Milliseconds(20000);
     m_settings.retries = { 10, 100, Milliseconds(10000) };
     m_gateway = std::make_unique<Gateway>(m_loop, m_settings);
@@ -103,6 +105,16 @@
     m_thread = std::jthread([this] { m_loop.run(); });
 }
 
+void GatewayFixture::reportRole(const std::string& id, EngineRole role, bool isChanging)
+{
+    peers::Outbox outbox;
+    outbox.add(roles::RoleReport { TargetId(id), UnixMillis(), role, isChanging });
+    const std::string datagram = outbox.takeDatagrams(EntryId("sidecar-" + id), unixNow()).front();
+    channels::EventLoop loop;
+    channels::DatagramPort port(loop, { "127.0.0.1", m_ports.pick() }, [](std::string_view) {});
+    port.send({ "127.0.0.1", m_operatorPort }, datagram);
+}
+
 uint32_t GatewayFixture::readiness() const
 {
     Caller caller({ "127.0.0.1", m_readinessPort });
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -34,6 +34,10 @@
     void setCachedParts(const std::string& id, const std::map<std::string, int>& parts);
     /** @return whether a target was queried for its cached prompt parts. */
     bool wasCacheQueried(const std::string& id) const;
+    /** Sends the gateway a report of an engine's role, as its sidecar would. */
+    void reportRole(const std::string& id, EngineRole role, bool isChanging);
+    /** Receives the gateway's requests to sidecars; all engines of the fixture share one port. */
+    fleet::Address sidecars() const { return { "127.0.0.1", m_sidecarPort }; }
     /** Starts the gateway without waiting until it is ready. */
     void start();
     void stopGateway()
@@ -67,6 +71,7 @@
     uint16_t m_callersPort;
     uint16_t m_readinessPort;
     uint16_t m_operatorPort;
+    uint16_t m_sidecarPort;
     settings::GatewaySettings m_settings;
     channels::EventLoop m_loop;
     std::unique_ptr<Gateway> m_gateway;
--- a/apps/sidecar/RoleReconciler.cpp
+++ b/apps/sidecar/RoleReconciler.cpp
@@ -6,18 +6,25 @@
 
 namespace {
 
-    constexpr Milliseconds CheckInterval { 500 };
-    constexpr Milliseconds RequestTimeout { 1000 };
-    /** A plan must hold this long before an order, so that the brief loss of an engine changes no
-     * roles. */
-    constexpr Milliseconds DecodeShortageDelay { 2500 };
-    /** Longer: a decode engine that starts while others are being replaced is often needed soon. */
-    constexpr Milliseconds DecodeSurplusDelay { 7000 };
-    /** At startup no work is in flight, and only the target records have to settle. */
-    constexpr Milliseconds StartupPlanDelay { 700 };
-    constexpr Milliseconds StartupPeriod { 8000 };
-    /** An order without a response may still be carried out; checks resume after this. */
-    constexpr Milliseconds OrderSettleTime { 4000 };
+    /** The engine is on this VM and responds within milliseconds. */
+    constexpr Milliseconds EngineTimeout { 400 };
+    constexpr Milliseconds ProgressInterval { 200 };
+    /** How long an engine may take to carry out an order that it did not respond to. */
+    constexpr Milliseconds UnansweredOrderLifetime { 15000 };
+    constexpr Milliseconds UnansweredCheckInterval { 500 };
+
+    EngineRole otherRole(EngineRole role)
+    {
+        return role == EngineRole::Decode ? EngineRole::Prefill : EngineRole::Decode;
+    }
+
+    /** Some engines do not state when they started; their id changes with each start. */
+    bool isOtherIncarnation(const fleet::EngineReport& report, const roles::RoleChange& change)
+    {
+        constexpr UnixMillis NotStated;
+        return report.startedAt != change.engineStartedAt && report.startedAt != NotStated
+            && change.engineStartedAt != NotStated;
+    }
 
 } // namespace
 
@@ -25,216 +32,194 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_engine(fleet::requireAddress(settings.engine))
-    , m_store(fleet::requireAddress(settings.store))
     , m_pool(loop, {})
-    , m_targetFeed(loop, m_pool, m_store,
-          { std::string(adapter::TargetPrefix), storefeed::Polling {} },
-          { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onTargets(items); },
-              {} })
-    , m_roleFeed(loop, m_pool, m_store,
-          { std::string(storefeed::RolePrefix), storefeed::Polling {} },
-          { [this](
-                std::span<const adapter::StoreItem> items, SteadyTime) { onOrderedRoles(items); },
-              {} })
+    , m_port(loop, fleet::requireAddress(settings.operatorAddress),
+          [this](std::string_view datagram) { onDatagram(datagram); })
     , m_operatorServer(loop, fleet::requireAddress(settings.operatorAddress),
           [](std::string_view) {
               return channels::StatusServer::Page { 200, "text/plain", telemetry::metricsText() };
           })
+    , m_startedAt(unixNow())
     , m_timer(loop)
-    , m_startedAt(steadyNow())
 {
 }
 
-void RoleReconciler::start()
+void RoleReconciler::onDatagram(std::string_view datagram)
 {
-    m_targetFeed.start();
-    m_roleFeed.start();
-    reconcileLater(CheckInterval);
+    try {
+        m_quorum.add(peers::decodeRoleRequest(datagram), steadyNow());
+        reconcile();
+    } catch (const peers::UpdateUnreadable& unreadable) {
+        telemetry::logWarning("orders", unreadable.describe());
+    }
 }
 
-void RoleReconciler::onTargets(std::span<const adapter::StoreItem> items)
+void RoleReconciler::reconcile()
 {
-    m_targets.clear();
-    for (const adapter::StoreItem& item : items)
-        addTarget(item);
+    if (m_call)
+        return;
+    if (!m_change) {
+        m_change = m_quorum.agreedChange(steadyNow());
+        m_isOrderSent = false;
+        m_isAccepted = false;
+    }
+    if (m_unanswered && steadyNow() - m_unanswered->sentAt > UnansweredOrderLifetime)
+        m_unanswered.reset();
+    if (!m_change && !m_unanswered)
+        return;
+    callEngine(
+        adapter::reportCall(), [this](const std::optional<channels::CallResponse>& response) {
+            constexpr uint32_t Ok = 200;
+            try {
+                if (response && response->status == Ok) {
+                    onReport(adapter::decodeReport(response->body));
+                    return;
+                }
+                telemetry::logWarning("orders", "The engine did not report its role.");
+            } catch (const adapter::DocumentUnreadable& unreadable) {
+                telemetry::logWarning("orders", "The engine's report could not be processed.",
+                    { { "cause", unreadable.describe() } });
+            }
+            if (m_change)
+                abandon(otherRole(m_change->role), "the engine does not report its role");
+            if (m_unanswered)
+                reconcileLater(UnansweredCheckInterval);
+        });
 }
 
-void RoleReconciler::addTarget(const adapter::StoreItem& item)
+void RoleReconciler::reconcileLater(Milliseconds delay)
 {
-    try {
-        const fleet::TargetRecord target = adapter::decodeTarget(item);
-        m_targets[target.id] = target;
-    } catch (const adapter::DocumentUnreadable& unreadable) {
-        m_targets.erase(TargetId(item.key.substr(adapter::TargetPrefix.size())));
-        telemetry::logWarning("targets", "Skipped an unreadable target record.",
-            { { "key", item.key }, { "cause", unreadable.describe() } });
-    }
+    m_timer.arm(delay, [this] { reconcile(); });
 }
 
-const fleet::TargetRecord* RoleReconciler::ownRecord() const
+void RoleReconciler::onReport(const fleet::EngineReport& report)
 {
-    for (const auto& [id, target] : m_targets) {
-        if (target.address == m_engine && !target.isLeaving)
-            return &target;
+    if (!m_change) {
+        checkUnanswered(report);
+        return;
+    }
+    if (!report.role || isOtherIncarnation(report, *m_change)) {
+        telemetry::logInfo("orders", "Ignored a request for another incarnation of the engine.",
+            { { "target", m_change->engine.text() },
+                { "requested", std::to_string(m_change->engineStartedAt.value()) },
+                { "running", std::to_string(report.startedAt.value()) } });
+        m_change.reset();
+    } else if (report.isChangingRole) {
+        m_isAccepted = true;
+        reportRole(*m_change, m_change->role, true);
+        reconcileLater(ProgressInterval);
+    } else if (*report.role == m_change->role) {
+        reportRole(*m_change, *report.role, false);
+        m_change.reset();
+    } else {
+        continueChange(report);
     }
-    return nullptr;
 }
 
-std::optional<EngineRole> RoleReconciler::desiredRole() const
+void RoleReconciler::checkUnanswered(const fleet::EngineReport& report)
 {
-    const fleet::TargetRecord* own = ownRecord();
-    // While the store is unreachable the records may be stale, and so would be the plan.
-    if (!own || !m_targetFeed.isConnected())
-        return std::nullopt;
-    std::vector<fleet::TargetRecord> engines;
-    for (const auto& [id, target] : m_targets) {
-        if (target.pool != own->pool)
-            continue;
-        // An order to this engine itself may have been lost, so its current role counts.
-        engines.push_back(
-            id == own->id ? target : dispatch::withOrderedRole(target, m_orderedRoles));
-    }
-    return dispatch::plannedRoleChange(dispatch::planDecodeEngines(m_plan, engines), *own);
+    const roles::RoleChange& change = m_unanswered->change;
+    const bool hasRole = report.role == change.role;
+    if (!isOtherIncarnation(report, change) && (report.isChangingRole || hasRole))
+        reportRole(change, change.role, !hasRole);
+    if (hasRole)
+        m_unanswered.reset();
+    else
+        reconcileLater(UnansweredCheckInterval);
 }
 
-void RoleReconciler::reconcile()
+void RoleReconciler::continueChange(const fleet::EngineReport& report)
 {
-    const std::optional<EngineRole> desired = desiredRole();
-    const SteadyTime now = steadyNow();
-    if (desired != m_desiredRole) {
-        m_desiredRole = desired;
-        m_desiredRoleSince = now;
-    }
-    const bool isStartingUp = now - m_startedAt < StartupPeriod;
-    Milliseconds requiredDelay
-        = desired == EngineRole::Decode ? DecodeShortageDelay : DecodeSurplusDelay;
-    if (isStartingUp)
-        requiredDelay = StartupPlanDelay;
-    const fleet::TargetRecord* own = ownRecord();
-    if (desired && now - m_desiredRoleSince >= requiredDelay) {
-        requestReport(*desired);
-        return;
-    }
-    const auto ordered = own ? m_orderedRoles.find(own->id) : m_orderedRoles.end();
-    if (!desired && ordered != m_orderedRoles.end() && ordered->second != own->role
-        && now - m_desiredRoleSince >= OrderSettleTime) {
-        withdrawOrder(*own->role);
-        return;
+    if (m_isAccepted) {
+        abandon(*report.role, "the engine no longer changes its role");
+    } else if (m_isOrderSent) {
+        // Another engine is ordered at once; a second order here may meet the same fate.
+        m_unanswered = { *m_change, steadyNow() };
+        abandon(*report.role, "the engine did not respond to the order");
+        reconcileLater(UnansweredCheckInterval);
+    } else {
+        sendOrder(report);
     }
-    reconcileLater(CheckInterval);
 }
 
-void RoleReconciler::onOrderedRoles(std::span<const adapter::StoreItem> items)
+void RoleReconciler::sendOrder(const fleet::EngineReport& report)
 {
-    m_orderedRoles.clear();
-    for (const adapter::StoreItem& item : items) {
-        if (const std::optional<EngineRole> role = engineRoleFromText(item.value))
-            m_orderedRoles[TargetId(item.key.substr(storefeed::RolePrefix.size()))] = *role;
-    }
+    const FencingNumber fence = roles::nextFencingNumber(report);
+    const adapter::RoleOrder order { m_change->role, m_settings.id, fence, report.acceptedOrders,
+        m_change->engine };
+    m_isOrderSent = true;
+    // The gateways stop sending new work before the engine begins to refuse it.
+    reportRole(*m_change, m_change->role, true);
+    telemetry::logInfo("orders", "Ordering a role change.",
+        { { "target", m_change->engine.text() }, { "role", std::string(toText(m_change->role)) },
+            { "fence", std::to_string(fence.value()) },
+            { "orders_before", std::to_string(report.acceptedOrders.value()) },
+            { "running", std::to_string(report.runningRequests) } });
+    callEngine(adapter::roleOrderCall(order),
+        [this, role = *report.role](const std::optional<channels::CallResponse>& response) {
+            onOrderResponse(role, response);
+        });
 }
 
-void RoleReconciler::publishOrderedRole(EngineRole role, std::function<void(FencingNumber)> next)
+void RoleReconciler::onOrderResponse(
+    EngineRole roleBefore, const std::optional<channels::CallResponse>& response)
 {
-    const fleet::TargetRecord* own = ownRecord();
-    if (!own) {
-        reconcileLater(CheckInterval);
-        return;
+    const std::string status = response ? std::to_string(response->status) : "none";
+    telemetry::count("orders", { { "status", status } });
+    telemetry::logInfo("orders", "The call with the role order ended.", { { "status", status } });
+    if (response) {
+        const adapter::OrderResult result = adapter::decodeOrder(response->status);
+        m_isAccepted = result == adapter::OrderResult::Begun;
+        if (result == adapter::OrderResult::OtherTarget)
+            reportReplaced();
+        if (!m_isAccepted && result != adapter::OrderResult::AlreadyHolds) {
+            abandon(roleBefore, "the engine refused the order");
+            return;
+        }
     }
-    const adapter::StoreWrite write { std::string(storefeed::RolePrefix) + own->id.text(),
-        std::string(toText(role)), adapter::StoreLease(0), std::nullopt };
-    m_call = channels::call(m_loop, m_pool, { m_store, {} },
-        adapter::composeCall(adapter::writeCall(std::span(&write, 1)), m_store), RequestTimeout,
-        [this, next = std::move(next)](const std::optional<channels::CallResponse>& response) {
-            const std::shared_ptr<void> finished = std::exchange(m_call, nullptr);
-            try {
-                if (response) {
-                    const adapter::WriteResult decoded
-                        = adapter::decodeWrite(response->status, response->body);
-                    if (const adapter::WriteDone* done
-                        = std::get_if<adapter::WriteDone>(&decoded)) {
-                        // The store's revision grows with each write, across restarts too.
-                        next(FencingNumber(done->revision.value()));
-                        return;
-                    }
-                }
-            } catch (const Error& error) {
-                telemetry::logWarning("orders",
-                    "The ordered role could not be written to the store.",
-                    { { "cause", error.describe() } });
-            }
-            reconcileLater(CheckInterval);
-        });
+    // Without a response the report shows whether the engine has accepted the order.
+    reconcileLater(ProgressInterval);
 }
 
-void RoleReconciler::withdrawOrder(EngineRole currentRole)
+void RoleReconciler::abandon(EngineRole role, std::string_view cause)
 {
-    telemetry::logInfo(
-        "orders", "Withdrawing a role order.", { { "role", std::string(toText(currentRole)) } });
-    publishOrderedRole(currentRole, [this](FencingNumber) { reconcileLater(CheckInterval); });
+    telemetry::logWarning("orders", "Gave up a role change.",
+        { { "target", m_change->engine.text() }, { "cause", std::string(cause) } });
+    reportRole(*m_change, role, false);
+    m_change.reset();
 }
 
-void RoleReconciler::callEngine(const adapter::Call& call, channels::CallHandler handler)
+void RoleReconciler::reportReplaced()
 {
-    m_call = channels::call(m_loop, m_pool, { m_engine, {} }, adapter::composeCall(call, m_engine),
-        RequestTimeout,
-        [this, handler = std::move(handler)](
-            const std::optional<channels::CallResponse>& response) {
-            const std::shared_ptr<void> finished = std::exchange(m_call, nullptr);
-            handler(response);
-        });
+    m_outbox.addReplaced(m_change->engine);
+    sendReports();
 }
 
-void RoleReconciler::requestReport(EngineRole desired)
+void RoleReconciler::reportRole(const roles::RoleChange& change, EngineRole role, bool isChanging)
 {
-    callEngine(adapter::reportCall(),
-        [this, desired](const std::optional<channels::CallResponse>& response) {
-            try {
-                if (response && response->status == 200) {
-                    const fleet::EngineReport report = adapter::decodeReport(response->body);
-                    if (report.role && *report.role != desired && !report.isChangingRole) {
-                        publishOrderedRole(
-                            desired, [this, desired, report](FencingNumber fencingNumber) {
-                                sendOrder(desired, report, fencingNumber);
-                            });
-                        return;
-                    }
-                }
-            } catch (const Error& error) {
-                telemetry::logWarning("orders", "The engine's report could not be processed.",
-                    { { "cause", error.describe() } });
-            }
-            reconcileLater(CheckInterval);
-        });
+    m_outbox.add(roles::RoleReport { change.engine, change.engineStartedAt, role, isChanging });
+    sendReports();
 }
 
-void RoleReconciler::sendOrder(
-    EngineRole desired, const fleet::EngineReport& report, FencingNumber fencingNumber)
+void RoleReconciler::sendReports()
 {
-    const fleet::TargetRecord* own = ownRecord();
-    if (!own) {
-        reconcileLater(CheckInterval);
-        return;
+    const std::vector<fleet::Address> gateways = m_quorum.replyAddresses(steadyNow());
+    for (const std::string& datagram :
+        m_outbox.takeDatagrams(EntryId(m_settings.id), m_startedAt)) {
+        for (const fleet::Address& gateway : gateways)
+            m_port.send(gateway, datagram);
     }
-    const adapter::RoleOrder order { desired, m_settings.id, fencingNumber, report.acceptedOrders,
-        own->id };
-    telemetry::logInfo("orders", "Ordering a role change.",
-        { { "target", own->id.text() }, { "role", std::string(toText(desired)) },
-            { "fence", std::to_string(fencingNumber.value()) },
-            { "orders_before", std::to_string(report.acceptedOrders.value()) },
-            { "running", std::to_string(report.runningRequests) } });
-    callEngine(adapter::roleOrderCall(order),
-        [this](const std::optional<channels::CallResponse>& response) {
-            telemetry::count(
-                "orders", { { "status", response ? std::to_string(response->status) : "none" } });
-            telemetry::logInfo("orders", "The call with the role order ended.",
-                { { "status", response ? std::to_string(response->status) : "none" } });
-            reconcileLater(OrderSettleTime);
-        });
 }
 
-void RoleReconciler::reconcileLater(Milliseconds delay)
+void RoleReconciler::callEngine(const adapter::Call& call, channels::CallHandler handler)
 {
-    m_timer.arm(delay, [this] { reconcile(); });
+    m_call = channels::call(m_loop, m_pool, { m_engine, {} }, adapter::composeCall(call, m_engine),
+        EngineTimeout,
+        [this, handler = std::move(handler)](
+            const std::optional<channels::CallResponse>& response) {
+            const std::shared_ptr<void> finished = std::exchange(m_call, nullptr);
+            handler(response);
+        });
 }
 
 } // namespace citronspoke::sidecar
--- a/apps/sidecar/RoleReconciler.h
+++ b/apps/sidecar/RoleReconciler.h
@@ -1,60 +1,66 @@
 #pragma once
 
-#include "dispatch/Dispatch.h"
+#include "adapter/Adapter.h"
+#include "channels/Channels.h"
+#include "peers/Peers.h"
 #include "settings/Settings.h"
-#include "storefeed/StoreFeed.h"
 
 namespace citronspoke::sidecar {
 
 /**
- * Keeps the role of the engine on this VM in line with the role plan of its pool: orders a change
- * once the two have differed for some time. Only the sidecar sends role orders to the engine. Runs
- * on the thread of its event loop.
+ * Orders the engine on this VM to take the role that the gateways agree on, and reports the
+ * engine's role to them. Only the sidecar sends role orders to the engine. Needs neither the store
+ * nor any state from before its start. Runs on the thread of its event loop.
  */
 class RoleReconciler {
 public:
+    /** @throws channels::ListenFailed */
     RoleReconciler(channels::EventLoop& loop, const settings::SidecarSettings& settings);
-    void start();
 
 private:
-    void onTargets(std::span<const adapter::StoreItem> items);
-    void addTarget(const adapter::StoreItem& item);
+    struct UnansweredOrder {
+        roles::RoleChange change;
+        SteadyTime sentAt;
+    };
+
+    void onDatagram(std::string_view datagram);
+    /** Requests the engine's report when the gateways want a change or one is in progress. */
     void reconcile();
-    /** @return the role to order; none when the engine keeps its role or the data may be stale. */
-    std::optional<EngineRole> desiredRole() const;
-    /** @return the record of the engine on this VM; null when it has none or is draining. */
-    const fleet::TargetRecord* ownRecord() const;
-    void onOrderedRoles(std::span<const adapter::StoreItem> items);
-    /**
-     * Writes the role that the engine is about to be ordered to take to the store.
-     * @param next called on success; the revision of the write is the fencing number of the order.
-     */
-    void publishOrderedRole(EngineRole role, std::function<void(FencingNumber)> next);
-    /** Requests the engine's report and orders the role unless the engine has it or is changing. */
-    void requestReport(EngineRole desired);
-    void sendOrder(
-        EngineRole desired, const fleet::EngineReport& report, FencingNumber fencingNumber);
-    /** Replaces the ordered role in the store by the current one after an order without effect. */
-    void withdrawOrder(EngineRole currentRole);
     void reconcileLater(Milliseconds delay);
+    void onReport(const fleet::EngineReport& report);
+    /** Reports the change when the engine carries out an unanswered order after all. */
+    void checkUnanswered(const fleet::EngineReport& report);
+    /** The engine does not have the role of the change. */
+    void continueChange(const fleet::EngineReport& report);
+    void sendOrder(const fleet::EngineReport& report);
+    void onOrderResponse(
+        EngineRole roleBefore, const std::optional<channels::CallResponse>& response);
+    /** Gives up the change. @param role that the engine keeps. */
+    void abandon(EngineRole role, std::string_view cause);
+    /** Another target has the engine's address. */
+    void reportReplaced();
+    void reportRole(const roles::RoleChange& change, EngineRole role, bool isChanging);
+    void sendReports();
     void callEngine(const adapter::Call& call, channels::CallHandler handler);
 
     channels::EventLoop& m_loop;
     const settings::SidecarSettings& m_settings;
     fleet::Address m_engine;
-    fleet::Address m_store;
     channels::ConnectionPool m_pool;
-    storefeed::StoreFeed m_targetFeed;
-    storefeed::StoreFeed m_roleFeed;
-    dispatch::OrderedRoles m_orderedRoles;
-    std::map<TargetId, fleet::TargetRecord> m_targets;
-    dispatch::RolePlan m_plan;
+    channels::DatagramPort m_port;
     channels::StatusServer m_operatorServer;
-    channels::Timer m_timer;
+    UnixMillis m_startedAt;
+    roles::RequestQuorum m_quorum;
+    peers::Outbox m_outbox;
+    /** The change that is being carried out. */
+    std::optional<roles::RoleChange> m_change;
+    bool m_isOrderSent = false;
+    /** The engine has accepted the order, or was seen changing. */
+    bool m_isAccepted = false;
+    /** An order without a response, which the engine may still carry out. */
+    std::optional<UnansweredOrder> m_unanswered;
     std::shared_ptr<void> m_call;
-    std::optional<EngineRole> m_desiredRole;
-    SteadyTime m_desiredRoleSince;
-    SteadyTime m_startedAt;
+    channels::Timer m_timer;
 };
 
 } // namespace citronspoke::sidecar
--- a/apps/sidecar/main.cpp
+++ b/apps/sidecar/main.cpp
@@ -14,7 +14,7 @@
     const settings::SidecarSettings settings
         = settings::parseSidecarSettings(settings::readFile(path));
     channels::EventLoop loop;
-    sidecar::RoleReconciler reconciler(loop, settings);
+    const sidecar::RoleReconciler reconciler(loop, settings);
     constexpr std::array<int, 3> Signals { SIGTERM, SIGINT, SIGHUP };
     loop.onSignals(Signals, [&loop](int signal) {
         if (signal == SIGHUP)
@@ -23,9 +23,8 @@
         else
             loop.stop();
     });
-    reconciler.start();
-    telemetry::logInfo("sidecar", "Started.",
-        { { "id", settings.id }, { "engine", settings.engine }, { "store", settings.store } });
+    telemetry::logInfo(
+        "sidecar", "Started.", { { "id", settings.id }, { "engine", settings.engine } });
     loop.run();
     telemetry::logInfo("sidecar", "Stopped.");
 }
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -11,9 +11,8 @@
 #include <unordered_map>
 
 /**
- * Decides where requests go on the users' platform: routes, targets, prompt placement, retries and
- * engine roles. Pure code: the caller passes state and time; no input or output, threads, locks or
- * clock.
+ * Decides where requests go on the users' platform: routes, targets, prompt placement and retries.
+ * Pure code: the caller passes state and time; no input or output, threads, locks or clock.
  */
 namespace citronspoke::dispatch {
 
@@ -99,6 +98,10 @@
     bool isConnected = false;
     uint32_t consecutiveFailures = 0;
     uint32_t consecutiveRefusals = 0;
+    SteadyTime lastFailure {};
+    /** When other entries last reported that they could not reach the target; cleared when this
+     * one can. */
+    std::map<EntryId, SteadyTime> peerFailures;
     /** Gets no requests before this time, unless there is no other target. */
     SteadyTime avoidUntil {};
     /** Gets no requests at all before this time, because its record is known to be stale. */
@@ -108,6 +111,13 @@
 
     /** @return the load from all entries, as far as it is known. */
     Load load() const;
+    /** @return whether requests should go elsewhere while there are other targets. */
+    bool isAvoided(SteadyTime now) const;
+    /**
+     * @return whether the target seems to be gone, although its record is still in the store: this
+     *         entry failed at it repeatedly, or several entries did at the same time.
+     */
+    bool isSuspectedLost(SteadyTime now) const;
 };
 
 /**
@@ -150,6 +160,9 @@
     /** A peer reports that the address of a target belongs to another one; excludes the target. */
     void notePeerReportedReplaced(const TargetId& id, SteadyTime now);
 
+    /** A peer reports that it could not reach a target. */
+    void notePeerFailure(const TargetId& id, const EntryId& peer, SteadyTime now);
+
     /** Adds the load of a request that this process sends. */
     void noteStarted(const TargetId& id, const Load& load);
     /** Subtracts the load of a request, or of the part of it that is finished. */
@@ -290,14 +303,15 @@
     const std::set<TargetId>& excluded, SteadyTime now);
 
 /**
- * Chooses a decode engine: the one with the least KV cache in use, among equals one in @p zone.
- * Engines that are to be avoided after recent failures come last.
+ * Chooses a decode engine: the one with the least work, where a transfer from another zone counts
+ * as more work. Engines that are to be avoided after recent failures come last.
  * @param excluded engines that must not get the request again.
  * @param zone of the engine that has prefilled the prompt.
+ * @param promptTokens length of the prompt, whose KV cache is transferred.
  * @return null when there is none.
  */
 TargetState* chooseDecodeEngine(std::span<TargetState* const> decodeEngines,
-    const std::set<TargetId>& excluded, const ZoneId& zone, SteadyTime now);
+    const std::set<TargetId>& excluded, const ZoneId& zone, uint64_t promptTokens, SteadyTime now);
 
 /**
  * Retry budget: this entry's part of the retries that all entries together may make. It is a share
@@ -346,32 +360,4 @@
     std::map<PoolId, History> m_pools;
 };
 
-/** Divides the engines of a pool between prefill and decode. */
-struct RolePlan {
-    /** Share of the pool's engines that decode. */
-    double decodeShare = 1.0 / 6;
-    uint32_t minDecodeEngines = 1;
-
-    /** @return how many of so many engines decode; with two or more, at least one prefills. */
-    uint32_t decodeEngines(size_t engines) const;
-};
-
-/** Roles that engines were ordered to take and may not have taken yet. */
-using OrderedRoles = std::map<TargetId, EngineRole>;
-
-/** @return the engine with the role that it has or was ordered to take. */
-fleet::TargetRecord withOrderedRole(const fleet::TargetRecord& engine, const OrderedRoles& ordered);
-
-/**
- * Chooses the engines that should decode; the others should prefill. All processes that know the
- * same engines choose the same ones.
- * @param engines of one pool, in any order; leaving ones and those without a role are ignored.
- */
-std::set<TargetId> planDecodeEngines(
-    const RolePlan& plan, std::span<const fleet::TargetRecord> engines);
-
-/** @return the role that an engine should change to; none when its role should stay as it is. */
-std::optional<EngineRole> plannedRoleChange(
-    const std::set<TargetId>& decodeEngines, const fleet::TargetRecord& engine);
-
 } // namespace citronspoke::dispatch
--- a/libs/dispatch/src/PromptPlacement.cpp
+++ b/libs/dispatch/src/PromptPlacement.cpp
@@ -39,7 +39,7 @@
         std::pair<bool, uint64_t> best;
         for (TargetState* candidate : candidates) {
             const std::pair<bool, uint64_t> rank(
-                candidate->avoidUntil <= now, homeRank(key, candidate->record.id));
+                !candidate->isAvoided(now), homeRank(key, candidate->record.id));
             if (!home || rank > best) {
                 home = candidate;
                 best = rank;
@@ -66,7 +66,7 @@
     {
         Source best;
         for (const TargetState* cachingEngine : cachingEngines) {
-            if (cachingEngine->avoidUntil > now)
+            if (cachingEngine->isAvoided(now))
                 continue;
             const uint64_t ready = cachedPrefixOf(cachedPrefixes, *cachingEngine).readyTokens;
             if (ready > best.tokens)
@@ -115,6 +115,11 @@
      * milliseconds of prefill, expressed in prompt tokens. */
     constexpr double NewConnectionCostTokens = 400;
     constexpr double OtherZoneCostTokens = 200;
+    /** An engine's transfers run one after another; the fixed part of each takes as long as the
+     * transfer of so many tokens. */
+    constexpr uint64_t TransferSetupTokens = 12500;
+    /** A transfer between zones takes twice as long, which also delays those behind it. */
+    constexpr uint64_t OtherZoneTransfers = 2;
 
     Urgency urgencyOf(const PromptGoal& goal, Milliseconds prefillTime)
     {
@@ -165,7 +170,7 @@
             cost += static_cast<double>(shared - std::min(shared, start));
         cost += candidate->isConnected ? 0 : NewConnectionCostTokens;
         cost += candidate->record.zone == goal.zone ? 0 : OtherZoneCostTokens;
-        const std::tuple<bool, double> rank(candidate->avoidUntil > now, cost);
+        const std::tuple<bool, double> rank(candidate->isAvoided(now), cost);
         if (best.engine && rank >= bestRank)
             continue;
         bestRank = rank;
@@ -180,15 +185,18 @@
 }
 
 TargetState* chooseDecodeEngine(std::span<TargetState* const> decodeEngines,
-    const std::set<TargetId>& excluded, const ZoneId& zone, SteadyTime now)
+    const std::set<TargetId>& excluded, const ZoneId& zone, uint64_t promptTokens, SteadyTime now)
 {
     TargetState* best = nullptr;
-    std::tuple<bool, uint64_t, bool> bestRank;
+    std::tuple<bool, uint64_t> bestRank;
     for (TargetState* decodeEngine : decodeEngines) {
         if (excluded.contains(decodeEngine->record.id))
             continue;
-        const std::tuple<bool, uint64_t, bool> rank(decodeEngine->avoidUntil > now,
-            decodeEngine->load().usedCacheTokens, decodeEngine->record.zone != zone);
+        const Load load = decodeEngine->load();
+        uint64_t cost = load.usedCacheTokens + load.requests * TransferSetupTokens;
+        if (decodeEngine->record.zone != zone)
+            cost += OtherZoneTransfers * (promptTokens + TransferSetupTokens);
+        const std::tuple<bool, uint64_t> rank(decodeEngine->isAvoided(now), cost);
         if (!best || rank < bestRank) {
             best = decodeEngine;
             bestRank = rank;
--- a/libs/dispatch/src/TargetDirectory.cpp
+++ b/libs/dispatch/src/TargetDirectory.cpp
@@ -14,6 +14,13 @@
     constexpr Milliseconds StaleRecordLifetime { 5000 };
     /** A single failure may be caused by the request; consecutive ones point to the target. */
     constexpr uint32_t ToleratedFailures = 1;
+    /** So many failures in a row are hardly caused by requests. */
+    constexpr uint32_t FailuresOfLostTarget = 3;
+    /** Entries that fail at a target within this time of each other point to its loss. */
+    constexpr Milliseconds PeerFailureLifetime { 2000 };
+    constexpr size_t EntriesOfLostTarget = 2;
+    /** A target that got no request for this time may be back. */
+    constexpr Milliseconds SuspicionLifetime { 6000 };
 
     Milliseconds avoidanceAfter(uint32_t consecutiveFailures)
     {
@@ -54,6 +61,24 @@
     return sum;
 }
 
+bool TargetState::isAvoided(SteadyTime now) const
+{
+    return avoidUntil > now || isSuspectedLost(now);
+}
+
+bool TargetState::isSuspectedLost(SteadyTime now) const
+{
+    const auto isRecent
+        = [now](const auto& failure) { return now - failure.second <= PeerFailureLifetime; };
+    const size_t peers
+        = static_cast<size_t>(std::count_if(peerFailures.begin(), peerFailures.end(), isRecent));
+    const bool hasFailedHere = consecutiveFailures > 0 && now - lastFailure <= PeerFailureLifetime;
+    if (peers + (hasFailedHere ? 1 : 0) >= EntriesOfLostTarget)
+        return true;
+    return consecutiveFailures >= FailuresOfLostTarget && now - lastFailure <= SuspicionLifetime
+        && avoidUntil > now;
+}
+
 bool TargetDirectory::put(const fleet::TargetRecord& record)
 {
     TargetState& state = m_targets[record.id];
@@ -86,6 +111,12 @@
         state->excludedUntil = std::max(state->excludedUntil, now + StaleRecordLifetime);
 }
 
+void TargetDirectory::notePeerFailure(const TargetId& id, const EntryId& peer, SteadyTime now)
+{
+    if (TargetState* state = find(id))
+        state->peerFailures[peer] = now;
+}
+
 void TargetDirectory::remove(const TargetId& id, SteadyTime mayReturnUntil, SteadyTime now)
 {
     const auto found = m_targets.find(id);
@@ -203,6 +234,7 @@
     case AttemptResult::Served:
         state->consecutiveFailures = 0;
         state->consecutiveRefusals = 0;
+        state->peerFailures.clear();
         state->avoidUntil = {};
         return;
     case AttemptResult::Refused:
@@ -215,11 +247,13 @@
         return;
     case AttemptResult::Failed:
         state->consecutiveFailures += 1;
+        state->lastFailure = now;
         if (state->consecutiveFailures > ToleratedFailures)
             state->avoidUntil = now + avoidanceAfter(state->consecutiveFailures);
         return;
     case AttemptResult::Unreachable:
         state->consecutiveFailures += 1;
+        state->lastFailure = now;
         state->avoidUntil = now + avoidanceAfter(state->consecutiveFailures);
         return;
     }
@@ -237,7 +271,7 @@
             continue;
         const double fullness = static_cast<double>(state->load().requests) / state->record.slots;
         const std::tuple<bool, double, bool> rank(
-            state->avoidUntil > now, fullness, state->record.zone != ownZone);
+            state->isAvoided(now), fullness, state->record.zone != ownZone);
         if (!best || rank < bestRank) {
             best = state;
             bestRank = rank;
--- a/libs/dispatch/tests/TargetDirectoryTests.cpp
+++ b/libs/dispatch/tests/TargetDirectoryTests.cpp
@@ -144,3 +144,31 @@
     directory.noteResult(TargetId("a"), AttemptResult::Served, Start);
     cr_assert(directory.find(TargetId("a"))->avoidUntil == SteadyTime {});
 }
+
+Test(directory, a_target_that_several_entries_cannot_reach_is_suspected_lost)
+{
+    TargetDirectory directory;
+    directory.put(target("a"));
+    const TargetId id("a");
+    directory.notePeerFailure(id, EntryId("peer-1"), Start);
+    directory.notePeerFailure(id, EntryId("peer-1"), Start);
+    cr_expect_not(directory.find(id)->isSuspectedLost(Start), "One entry may be cut off itself.");
+    directory.notePeerFailure(id, EntryId("peer-2"), Start);
+    cr_expect(directory.find(id)->isSuspectedLost(Start));
+    cr_expect(directory.find(id)->isAvoided(Start));
+    cr_expect_not(directory.find(id)->isSuspectedLost(Start + Milliseconds(10000)));
+    directory.noteResult(id, AttemptResult::Served, Start);
+    cr_expect_not(directory.find(id)->isSuspectedLost(Start));
+}
+
+Test(directory, a_target_that_fails_repeatedly_is_suspected_lost_and_a_single_failure_is_not)
+{
+    TargetDirectory directory;
+    directory.put(target("a"));
+    const TargetId id("a");
+    directory.noteResult(id, AttemptResult::Unreachable, Start);
+    cr_expect_not(directory.find(id)->isSuspectedLost(Start));
+    directory.noteResult(id, AttemptResult::Unreachable, Start);
+    directory.noteResult(id, AttemptResult::Unreachable, Start);
+    cr_expect(directory.find(id)->isSuspectedLost(Start));
+}
--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "dispatch/Dispatch.h"
+#include "roles/Roles.h"
 
 /**
- * Updates that gateways exchange by datagram: work in flight, cached prompt parts, crash reports
- * and replaced targets.
+ * Datagrams between the processes of the system. Gateways exchange updates: work in flight, cached
+ * prompt parts, crash reports, lost and replaced targets, roles and the demand for them. They
+ * request role changes from sidecars, which report roles in updates of their own.
  */
 namespace citronspoke::peers {
 
@@ -35,6 +37,12 @@
     std::vector<uint64_t> crashes;
 };
 
+/** The demand of the sender's requests; it replaces the sender's previous report for the pool. */
+struct DemandReport {
+    PoolId pool;
+    roles::Demand demand;
+};
+
 /** The content of one datagram. */
 struct Update {
     EntryId sender;
@@ -49,6 +57,10 @@
     std::vector<CrashReport> crashes;
     /** Fingerprints of suspected requests that were served after all. */
     std::vector<uint64_t> cleared;
+    /** Targets that the sender could not reach. */
+    std::vector<TargetId> unreachable;
+    std::vector<roles::RoleReport> roles;
+    std::vector<DemandReport> demands;
 };
 
 /** @return the update as a MessagePack array. */
@@ -56,6 +68,11 @@
 /** @throws UpdateUnreadable when the datagram is not an encoded update. */
 Update decode(std::string_view datagram);
 
+/** @return the request as a MessagePack array. */
+std::string encode(const roles::RoleRequest& request);
+/** @throws UpdateUnreadable when the datagram is not an encoded request. */
+roles::RoleRequest decodeRoleRequest(std::string_view datagram);
+
 /** Batches reports until they are sent; a later load report for a target replaces an earlier one.
  */
 class Outbox {
@@ -65,6 +82,9 @@
     void addReplaced(const TargetId& target) { m_replaced.push_back(target); }
     void add(CrashReport report);
     void addCleared(uint64_t fingerprint) { m_cleared.push_back(fingerprint); }
+    void addUnreachable(const TargetId& target) { m_unreachable.insert(target); }
+    void add(const roles::RoleReport& report) { m_roles.push_back(report); }
+    void add(const DemandReport& report) { m_demands[report.pool] = report.demand; }
     bool empty() const noexcept;
     /** Removes all reports. @return them as datagrams that fit into one network packet each. */
     std::vector<std::string> takeDatagrams(const EntryId& sender, UnixMillis startedAt);
@@ -75,6 +95,9 @@
     std::vector<TargetId> m_replaced;
     std::vector<CrashReport> m_crashes;
     std::vector<uint64_t> m_cleared;
+    std::set<TargetId> m_unreachable;
+    std::vector<roles::RoleReport> m_roles;
+    std::map<PoolId, roles::Demand> m_demands;
     uint64_t m_lastSequenceNumber = 0;
 };
 
--- a/libs/peers/src/Codec.cpp
+++ b/libs/peers/src/Codec.cpp
@@ -11,9 +11,35 @@
     using PartTuple = std::tuple<std::string, uint32_t>;
     using PartsTuple = std::tuple<std::string, std::vector<PartTuple>>;
     using CrashTuple = std::tuple<uint64_t, std::vector<uint64_t>>;
+    /** Engine, start of its incarnation, whether it decodes, whether it is changing. */
+    using RoleTuple = std::tuple<std::string, int64_t, bool, bool>;
+    using DemandTuple = std::tuple<std::string, float, float>;
     using UpdateTuple = std::tuple<std::string, int64_t, uint64_t, std::vector<LoadTuple>,
         std::vector<PartsTuple>, std::vector<std::string>, std::vector<CrashTuple>,
-        std::vector<uint64_t>>;
+        std::vector<uint64_t>, std::vector<std::string>, std::vector<RoleTuple>,
+        std::vector<DemandTuple>>;
+    /** Gateway, its address, engine, start of its incarnation, whether it should decode, planners.
+     */
+    using RoleRequestTuple
+        = std::tuple<std::string, std::string, std::string, int64_t, bool, uint32_t>;
+
+    EngineRole roleOf(bool decodes) { return decodes ? EngineRole::Decode : EngineRole::Prefill; }
+
+    std::vector<std::string> texts(const std::vector<TargetId>& targets)
+    {
+        std::vector<std::string> list;
+        list.reserve(targets.size());
+        for (const TargetId& target : targets)
+            list.push_back(target.text());
+        return list;
+    }
+
+    template <typename Tuple> std::string pack(const Tuple& tuple)
+    {
+        msgpack::sbuffer buffer;
+        msgpack::pack(buffer, tuple);
+        return std::string(buffer.data(), buffer.size());
+    }
 
 } // namespace
 
@@ -30,18 +56,21 @@
             list.emplace_back(part.id, part.tokens);
         parts.emplace_back(report.engine.text(), std::move(list));
     }
-    std::vector<std::string> replaced;
-    for (const TargetId& target : update.replaced)
-        replaced.push_back(target.text());
     std::vector<CrashTuple> crashes;
     for (const CrashReport& report : update.crashes)
         crashes.emplace_back(report.fingerprint, report.crashes);
-    msgpack::sbuffer buffer;
-    msgpack::pack(buffer,
+    std::vector<RoleTuple> roleTuples;
+    for (const roles::RoleReport& report : update.roles)
+        roleTuples.emplace_back(report.engine.text(), report.engineStartedAt.value(),
+            report.role == EngineRole::Decode, report.isChanging);
+    std::vector<DemandTuple> demands;
+    for (const DemandReport& report : update.demands)
+        demands.emplace_back(report.pool.text(), static_cast<float>(report.demand.decodeEngines),
+            static_cast<float>(report.demand.prefillEngines));
+    return pack(
         UpdateTuple(update.sender.text(), update.senderStartedAt.value(), update.sequenceNumber,
-            std::move(loads), std::move(parts), std::move(replaced), std::move(crashes),
-            update.cleared));
-    return std::string(buffer.data(), buffer.size());
+            std::move(loads), std::move(parts), texts(update.replaced), std::move(crashes),
+            update.cleared, texts(update.unreachable), std::move(roleTuples), std::move(demands)));
 }
 
 Update decode(std::string_view datagram)
@@ -66,6 +95,13 @@
         for (const auto& [fingerprint, crashes] : std::get<6>(tuple))
             update.crashes.push_back({ fingerprint, crashes });
         update.cleared = std::get<7>(tuple);
+        for (const std::string& target : std::get<8>(tuple))
+            update.unreachable.emplace_back(target);
+        for (const auto& [engine, startedAt, decodes, isChanging] : std::get<9>(tuple))
+            update.roles.push_back(
+                { TargetId(engine), UnixMillis(startedAt), roleOf(decodes), isChanging });
+        for (const auto& [pool, decodeEngines, prefillEngines] : std::get<10>(tuple))
+            update.demands.push_back({ PoolId(pool), { decodeEngines, prefillEngines } });
         return update;
     } catch (const std::exception&) {
         // The exceptions of msgpack share no more specific base class.
@@ -73,4 +109,25 @@
     }
 }
 
+std::string encode(const roles::RoleRequest& request)
+{
+    return pack(RoleRequestTuple(request.gateway.text(), request.replyTo.text(),
+        request.change.engine.text(), request.change.engineStartedAt.value(),
+        request.change.role == EngineRole::Decode, request.planners));
+}
+
+roles::RoleRequest decodeRoleRequest(std::string_view datagram)
+{
+    try {
+        RoleRequestTuple tuple;
+        msgpack::unpack(datagram.data(), datagram.size()).get().convert(tuple);
+        const auto& [gateway, replyTo, engine, startedAt, decodes, planners] = tuple;
+        return { EntryId(gateway), fleet::requireAddress(replyTo),
+            { TargetId(engine), UnixMillis(startedAt), roleOf(decodes) }, planners };
+    } catch (const std::exception&) {
+        // As above; an unreadable address is an error of the sender too.
+        throw UpdateUnreadable();
+    }
+}
+
 } // namespace citronspoke::peers
--- a/libs/peers/src/Outbox.cpp
+++ b/libs/peers/src/Outbox.cpp
@@ -15,6 +15,9 @@
     constexpr size_t ReplacedPerDatagram = 8;
     constexpr size_t CrashesPerDatagram = 4;
     constexpr size_t ClearedPerDatagram = 8;
+    constexpr size_t UnreachablePerDatagram = 4;
+    constexpr size_t RolesPerDatagram = 4;
+    constexpr size_t DemandsPerDatagram = 4;
 
     /** Removes up to @p maxCount reports from the front of a list. @return them. */
     template <typename Report>
@@ -39,7 +42,7 @@
 bool Outbox::empty() const noexcept
 {
     return m_loads.empty() && m_parts.empty() && m_replaced.empty() && m_crashes.empty()
-        && m_cleared.empty();
+        && m_cleared.empty() && m_unreachable.empty() && m_roles.empty() && m_demands.empty();
 }
 
 std::vector<std::string> Outbox::takeDatagrams(const EntryId& sender, UnixMillis startedAt)
@@ -58,6 +61,13 @@
         update.replaced = takeFront(m_replaced, ReplacedPerDatagram);
         update.crashes = takeFront(m_crashes, CrashesPerDatagram);
         update.cleared = takeFront(m_cleared, ClearedPerDatagram);
+        while (!m_unreachable.empty() && update.unreachable.size() < UnreachablePerDatagram)
+            update.unreachable.push_back(m_unreachable.extract(m_unreachable.begin()).value());
+        update.roles = takeFront(m_roles, RolesPerDatagram);
+        while (!m_demands.empty() && update.demands.size() < DemandsPerDatagram) {
+            update.demands.push_back({ m_demands.begin()->first, m_demands.begin()->second });
+            m_demands.erase(m_demands.begin());
+        }
         datagrams.push_back(encode(update));
     }
     return datagrams;
--- /dev/null
+++ b/libs/roles/src/RoleRequests.cpp
@@ -0,0 +1,81 @@
+#include "roles/Roles.h"
+
+#include <algorithm>
+
+namespace citronspoke::roles {
+
+namespace {
+
+    /** Enough that a frozen or cut gateway among them does not decide. */
+    constexpr size_t MaxPlanners = 5;
+    /** Gateways repeat a request several times within this time while they want the change. */
+    constexpr Milliseconds RequestLifetime { 900 };
+    /** Spreads similar texts over all values, which the plain hash of their text does not. */
+    uint64_t planningRank(const EntryId& gateway, const TargetId& engine)
+    {
+        constexpr uint64_t Multiplier = 0xff51afd7ed558ccdULL;
+        constexpr int HalfBits = 32;
+        uint64_t rank = stableHash(gateway.text() + "/" + engine.text());
+        rank ^= rank >> HalfBits;
+        rank *= Multiplier;
+        return rank ^ (rank >> HalfBits);
+    }
+
+    /** Gateways learn the end of a change that they requested. */
+    constexpr Milliseconds ReplyLifetime { 15000 };
+
+} // namespace
+
+std::vector<EntryId> plannersOf(const TargetId& engine, std::span<const EntryId> gateways)
+{
+    std::vector<std::pair<uint64_t, EntryId>> ranked;
+    ranked.reserve(gateways.size());
+    for (const EntryId& gateway : gateways)
+        ranked.emplace_back(planningRank(gateway, engine), gateway);
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<EntryId> planners;
+    for (size_t index = 0; index < std::min(ranked.size(), MaxPlanners); ++index)
+        planners.push_back(ranked[index].second);
+    return planners;
+}
+
+void RequestQuorum::add(const RoleRequest& request, SteadyTime now)
+{
+    std::erase_if(
+        m_requests, [now](const auto& item) { return now - item.second.at > ReplyLifetime; });
+    m_requests[request.gateway] = { request, now };
+}
+
+std::optional<RoleChange> RequestQuorum::agreedChange(SteadyTime now) const
+{
+    for (const auto& [gateway, received] : m_requests) {
+        uint32_t votes = 0;
+        for (const auto& [other, vote] : m_requests) {
+            if (now - vote.at <= RequestLifetime && vote.request.change == received.request.change)
+                votes += 1;
+        }
+        if (votes * 2 >= received.request.planners && votes > 0)
+            return received.request.change;
+    }
+    return std::nullopt;
+}
+
+std::vector<fleet::Address> RequestQuorum::replyAddresses(SteadyTime now) const
+{
+    std::vector<fleet::Address> addresses;
+    for (const auto& [gateway, received] : m_requests) {
+        if (now - received.at <= ReplyLifetime)
+            addresses.push_back(received.request.replyTo);
+    }
+    return addresses;
+}
+
+FencingNumber nextFencingNumber(const fleet::EngineReport& report)
+{
+    // Start times are milliseconds since 1970; the product stays exact in a double.
+    constexpr int64_t MaxOrdersOfAnIncarnation = 1024;
+    return FencingNumber(report.startedAt.value() * MaxOrdersOfAnIncarnation
+        + std::min(report.acceptedOrders.value() + 1, MaxOrdersOfAnIncarnation - 1));
+}
+
+} // namespace citronspoke::roles
--- /dev/null
+++ b/libs/roles/tests/RolePlannerTests.cpp
@@ -0,0 +1,163 @@
+#include "RoleTestFleet.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace citronspoke;
+using namespace citronspoke::roles;
+using namespace citronspoke::roles::tests;
+
+namespace {
+
+constexpr Milliseconds Tick { 150 };
+constexpr Milliseconds SwitchTime { 3000 };
+/** The users' engines take three seconds for a change; noticing and ordering must cost little. */
+constexpr Milliseconds RecoveryTarget = SwitchTime + Milliseconds(1000);
+
+/** Engines whose sidecars carry out the planner's changes, on a simulated clock. */
+class Fleet {
+public:
+    explicit Fleet(size_t engines, size_t decoding, bool isFirstStart = false)
+        : m_planner(at(Milliseconds(0)), isFirstStart)
+    {
+        for (size_t index = 0; index < engines; ++index)
+            m_engines.push_back(engine("e" + std::to_string(index),
+                index < decoding ? EngineRole::Decode : EngineRole::Prefill,
+                static_cast<int64_t>(index) + 1, "zone-" + std::to_string(index % 4)));
+    }
+
+    PlannedEngine& operator[](size_t index) { return m_engines[index]; }
+    /** Engines that get no order carried out, as when their orders stay without a response. */
+    std::set<TargetId> deaf;
+    Demand demand { 0.5, 3 };
+
+    void run(Milliseconds length)
+    {
+        for (const Milliseconds end = m_now + length; m_now < end; m_now += Tick) {
+            finishChanges();
+            for (const RoleChange& change : m_planner.update(m_engines, demand, at(m_now)))
+                begin(change);
+        }
+    }
+    /** Runs until so many engines decode. @return how long it took. */
+    Milliseconds runUntilDecoding(size_t count)
+    {
+        const Milliseconds start = m_now;
+        constexpr Milliseconds Limit { 60000 };
+        while (decoding() < count && m_now - start < Limit)
+            run(Tick);
+        return m_now - start;
+    }
+    /** @return engines that can decode now. */
+    size_t decoding() const
+    {
+        return static_cast<size_t>(
+            std::count_if(m_engines.begin(), m_engines.end(), [this](const PlannedEngine& each) {
+                return !each.isLost && each.record.role == EngineRole::Decode
+                    && !m_changes.contains(each.record.id);
+            }));
+    }
+    size_t orders() const { return m_orders; }
+
+private:
+    void begin(const RoleChange& change)
+    {
+        m_orders += 1;
+        if (deaf.contains(change.engine))
+            return;
+        m_changes[change.engine] = m_now + SwitchTime;
+        for (PlannedEngine& each : m_engines) {
+            if (each.record.id == change.engine)
+                each.record.role = change.role;
+        }
+    }
+    void finishChanges()
+    {
+        std::erase_if(m_changes, [this](const auto& item) { return item.second <= m_now; });
+    }
+
+    std::vector<PlannedEngine> m_engines;
+    RolePlanner m_planner;
+    std::map<TargetId, Milliseconds> m_changes;
+    Milliseconds m_now { 0 };
+    size_t m_orders = 0;
+};
+
+} // namespace
+
+Test(load_pattern, lost_decode_engines_are_replaced_within_the_time_of_a_role_change)
+{
+    Fleet fleet(12, 2);
+    fleet.run(Milliseconds(3000));
+    fleet[0].isLost = fleet[1].isLost = true;
+    cr_assert_leq(fleet.runUntilDecoding(2).count(), RecoveryTarget.count());
+    cr_assert_eq(fleet.orders(), 2U);
+}
+
+Test(load_pattern, an_order_without_effect_costs_little_when_decode_engines_are_lost)
+{
+    Fleet fleet(12, 2);
+    fleet.run(Milliseconds(3000));
+    fleet[0].isLost = fleet[1].isLost = true;
+    // The first two replacements never begin their change.
+    fleet.deaf = { TargetId("e2"), TargetId("e3") };
+    cr_assert_leq(fleet.runUntilDecoding(2).count(), (RecoveryTarget + Milliseconds(1500)).count());
+}
+
+Test(load_pattern, an_engine_that_returns_to_its_role_is_passed_over)
+{
+    Fleet fleet(12, 2);
+    fleet.run(Milliseconds(3000));
+    fleet[0].isLost = fleet[1].isLost = true;
+    fleet.run(Milliseconds(600));
+    cr_assert(fleet[2].record.role == EngineRole::Decode);
+    // Its order was refused, so that it prefills again.
+    fleet[2].record.role = EngineRole::Prefill;
+    fleet.run(Milliseconds(600));
+    cr_assert(fleet[2].record.role == EngineRole::Prefill);
+    cr_assert(fleet[4].record.role == EngineRole::Decode);
+}
+
+Test(load_pattern, a_brief_silence_of_a_decode_engine_changes_no_role)
+{
+    Fleet fleet(12, 2);
+    fleet.run(Milliseconds(3000));
+    fleet[0].isLost = true;
+    fleet.run(Tick);
+    fleet[0].isLost = false;
+    fleet.run(Milliseconds(10000));
+    cr_assert_eq(fleet.orders(), 0U);
+}
+
+Test(load_pattern, bursts_that_alternate_change_roles_once)
+{
+    Fleet fleet(12, 2);
+    for (int burst = 0; burst < 5; ++burst) {
+        fleet.demand = { 3, 4 };
+        fleet.run(Milliseconds(2800));
+        fleet.demand = { 1, 6 };
+        fleet.run(Milliseconds(2800));
+    }
+    // One more decode engine; it is kept between the bursts.
+    cr_assert_eq(fleet.orders(), 1U);
+    fleet.run(Milliseconds(10000));
+    cr_assert_eq(fleet.decoding(), 2U);
+}
+
+Test(load_pattern, spare_decode_engines_prefill_at_once_when_prefill_is_short)
+{
+    Fleet fleet(12, 2);
+    fleet.demand = { 4, 4 };
+    cr_assert_leq(fleet.runUntilDecoding(4).count(), RecoveryTarget.count());
+    fleet.demand = { 0.7, 14 };
+    fleet.run(RecoveryTarget);
+    cr_assert_eq(fleet.decoding(), 2U);
+}
+
+Test(roles, the_first_start_splits_the_engines_before_traffic_begins)
+{
+    Fleet fleet(12, 12, true);
+    fleet.run(RecoveryTarget);
+    cr_assert_eq(fleet.decoding(), 2U);
+    cr_assert_eq(fleet.orders(), 10U);
+}
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -274,6 +274,8 @@
     std::string operatorAddress;
     /** The platform's store, "IP:PORT". */
     std::string store;
+    /** Port at which each sidecar receives requests, on the VM of its engine. */
+    uint16_t sidecarPort = 0;
     /** Time from the stop signal until the process is killed. */
     Milliseconds stopGrace { 8000 };
     RetryLimits retries;
@@ -287,10 +289,8 @@
     ZoneId zone;
     /** The engine on this VM, "IP:PORT". */
     std::string engine;
-    /** Where operators are served over HTTP, "IP:PORT". */
+    /** Serves operators over HTTP and the gateways over UDP, "IP:PORT". */
     std::string operatorAddress;
-    /** The platform's store, "IP:PORT". */
-    std::string store;
 };
 
 /**
--- a/libs/settings/src/GatewayAndSidecarSettings.cpp
+++ b/libs/settings/src/GatewayAndSidecarSettings.cpp
@@ -10,7 +10,7 @@
 
     constexpr double MsPerSecond = 1000;
 
-    constexpr std::array<KeyRule, 11> GatewayRules {
+    constexpr std::array<KeyRule, 12> GatewayRules {
         KeyRule { "", "id", ValueKind::Text, true },
         KeyRule { "", "zone", ValueKind::Text, true },
         KeyRule { "", "callers", ValueKind::Address, true },
@@ -21,15 +21,15 @@
         KeyRule { "", "retry_share", ValueKind::Real, true, 0, 10 },
         KeyRule { "", "retry_fixed_part", ValueKind::Real, true, 0, 1e6 },
         KeyRule { "", "retry_window_s", ValueKind::Real, true, 0.1, 3600 },
+        KeyRule { "", "sidecar_port", ValueKind::Integer, true, 1, 65535 },
         KeyRule { "", "first_start", ValueKind::Flag, false },
     };
 
-    constexpr std::array<KeyRule, 5> SidecarRules {
+    constexpr std::array<KeyRule, 4> SidecarRules {
         KeyRule { "", "id", ValueKind::Text, true },
         KeyRule { "", "zone", ValueKind::Text, true },
         KeyRule { "", "engine", ValueKind::Address, true },
         KeyRule { "", "operator", ValueKind::Address, true },
-        KeyRule { "", "store", ValueKind::Address, true },
     };
 
     /** Reads the settings that the gateway and the sidecar have in common. */
@@ -38,7 +38,6 @@
         settings.id = reader.text("id");
         settings.zone = ZoneId(reader.text("zone"));
         settings.operatorAddress = reader.text("operator");
-        settings.store = reader.text("store");
     }
 
     /** @return the value of a key given in seconds. */
@@ -64,6 +63,8 @@
     const TableReader reader(document.root());
     GatewaySettings gateway;
     readCommon(reader, gateway);
+    gateway.store = reader.text("store");
+    gateway.sidecarPort = reader.number<uint16_t>("sidecar_port", 0);
     gateway.callers = reader.text("callers");
     gateway.readiness = reader.text("readiness");
     gateway.stopGrace = readSeconds(reader, "stop_grace_s");
--- a/libs/storefeed/include/storefeed/StoreFeed.h
+++ b/libs/storefeed/include/storefeed/StoreFeed.h
@@ -8,8 +8,6 @@
 
 /** Key prefix under which each gateway registers itself, by its id. */
 inline constexpr std::string_view GatewayPrefix = "citronspoke/gateways/";
-/** Key prefix under which sidecars write the role ordered for their engine, by the engine's id. */
-inline constexpr std::string_view RolePrefix = "citronspoke/roles/";
 
 /** Long-polls a watch: changes arrive at once, and each response costs another store call. */
 struct Watching {
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -101,10 +101,13 @@
     TargetPlace& randomTarget(std::mt19937_64& random);
     SoakProcess& randomProcess(std::mt19937_64& random);
     fleet::Address pickAddress();
+    /** @return the IP address of the next target's VM. Sidecars use the same port on each VM. */
+    std::string nextVmAddress();
 
     SoakOptions m_options;
     RunHistory& m_history;
     localfleet::PortPicker m_ports;
+    uint16_t m_sidecarPort;
     fakes::FakeFleetStore m_store;
     HandleTable m_handles;
     channels::EventLoop m_loop;
--- a/tests/soak/SoakTarget.h
+++ b/tests/soak/SoakTarget.h
@@ -99,6 +99,7 @@
     std::optional<SteadyTime> m_drainStartedAt;
     std::string m_orderOwner;
     int64_t m_lastFence = 0;
+    nlohmann::json m_lastOrder;
     int64_t m_orders = 0;
     std::atomic<bool> m_isChangingRole { false };
     std::atomic<size_t> m_running { 0 };
