One watch of the store for all keys, times from the settings

Each gateway held a watch for declarations and one for targets, which each return every 2 s, and polled the announcements of gateways.

Change: one watch with an empty prefix, its keys told apart on arrival; it waits three quarters of the deployment's apply time and coalesces changes for an eighth of its drain time, both from the settings. A missing route counts as unknown rather than absent when the declaration is older than the apply time (was 4 s everywhere).

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -9,11 +9,6 @@
     /** The load balancer probes once a second and removes a VM after two failed probes. */
     constexpr Milliseconds LoadBalancerReactionTime { 2600 };
     constexpr Milliseconds StopCheckInterval { 50 };
-    /** Short enough to detect a watch that silently stopped delivering within the time in which a
-     * new declaration must take effect. */
-    constexpr Milliseconds WatchPollTimeout { 2000 };
-    /** A small part of the time within which leaving targets must cease to get new work. */
-    constexpr Milliseconds CoalesceTime { 250 };
     /** Time for the process to exit before it would be killed. */
     constexpr Milliseconds ExitMargin { 400 };
 
@@ -24,32 +19,40 @@
         return options;
     }
 
+    /** Short enough to detect a watch that silently stopped delivering within the time in which a
+     * new declaration must take effect. */
+    Milliseconds watchPollTimeout(const settings::GatewaySettings& settings)
+    {
+        constexpr double ShareOfApplyTime = 0.75;
+        return std::chrono::duration_cast<Milliseconds>(ShareOfApplyTime * settings.applyTime);
+    }
+
+    /** A small part of the time within which leaving targets must cease to get new work. */
+    Milliseconds coalesceTime(const settings::GatewaySettings& settings)
+    {
+        constexpr int FractionOfDrainTime = 8;
+        return settings.drainTime / FractionOfDrainTime;
+    }
+
+    std::string_view keyOf(const adapter::KeyChange& change)
+    {
+        const adapter::KeyWritten* written = std::get_if<adapter::KeyWritten>(&change);
+        return written ? written->item.key : std::get<adapter::KeyDeleted>(change).key;
+    }
+
 } // namespace
 
 Gateway::Gateway(channels::EventLoop& loop, const settings::GatewaySettings& settings)
     : m_loop(loop)
     , m_context(loop, settings)
     , m_storePool(loop, storeOptions())
-    , m_declarations(loop, m_storePool, fleet::requireAddress(settings.store),
-          { std::string(adapter::DeclarationPrefix),
-              storefeed::Watching { WatchPollTimeout, Milliseconds(0) } },
-          { [this](std::span<const adapter::StoreItem> items, SteadyTime) {
-               for (const adapter::StoreItem& item : items)
-                   onDeclaration(item);
-           },
-              [this](const adapter::KeyChange& change, SteadyTime) {
-                  if (const adapter::KeyWritten* written
-                      = std::get_if<adapter::KeyWritten>(&change))
-                      onDeclaration(written->item);
-              } })
-    , m_targets(loop, m_storePool, fleet::requireAddress(settings.store),
-          { std::string(adapter::TargetPrefix),
-              storefeed::Watching { WatchPollTimeout, CoalesceTime } },
+    , m_storeFeed(loop, m_storePool, fleet::requireAddress(settings.store),
+          { {}, watchPollTimeout(settings), coalesceTime(settings) },
           { [this](std::span<const adapter::StoreItem> items, SteadyTime mayReturnUntil) {
-               onTargets(items, mayReturnUntil);
+               onStoreItems(items, mayReturnUntil);
            },
               [this](const adapter::KeyChange& change, SteadyTime mayReturnUntil) {
-                  onTargetChange(change, mayReturnUntil);
+                  onStoreChange(change, mayReturnUntil);
               } })
     , m_peers(m_context, m_storePool, fleet::requireAddress(settings.store),
           fleet::requireAddress(settings.operatorAddress))
@@ -68,7 +71,7 @@
 {
     m_context.peers = &m_peers;
     m_context.declarationAge = [this] {
-        const std::optional<SteadyTime> last = m_declarations.lastResponse();
+        const std::optional<SteadyTime> last = m_storeFeed.lastResponse();
         const SteadyTime::duration age = last ? steadyNow() - *last : std::chrono::hours(1);
         return std::chrono::duration_cast<Milliseconds>(age);
     };
@@ -76,12 +79,39 @@
 
 void Gateway::start()
 {
-    m_declarations.start();
-    m_targets.start();
+    m_storeFeed.start();
     m_peers.start();
     m_roles.start();
 }
 
+void Gateway::onStoreItems(std::span<const adapter::StoreItem> items, SteadyTime mayReturnUntil)
+{
+    std::vector<adapter::StoreItem> targets;
+    std::vector<adapter::StoreItem> announcements;
+    for (const adapter::StoreItem& item : items) {
+        if (item.key == adapter::DeclarationKey)
+            onDeclaration(item);
+        else if (item.key.starts_with(adapter::TargetPrefix))
+            targets.push_back(item);
+        else if (item.key.starts_with(storefeed::GatewayPrefix))
+            announcements.push_back(item);
+    }
+    onTargets(targets, mayReturnUntil);
+    m_peers.onAnnouncements(announcements);
+}
+
+void Gateway::onStoreChange(const adapter::KeyChange& change, SteadyTime mayReturnUntil)
+{
+    const std::string_view key = keyOf(change);
+    if (key.starts_with(adapter::TargetPrefix)) {
+        onTargetChange(change, mayReturnUntil);
+    } else if (key.starts_with(storefeed::GatewayPrefix)) {
+        m_peers.onAnnouncementChange(change);
+    } else if (const adapter::KeyWritten* written = std::get_if<adapter::KeyWritten>(&change)) {
+        onDeclaration(written->item);
+    }
+}
+
 void Gateway::onDeclaration(const adapter::StoreItem& item)
 {
     if (item.key != adapter::DeclarationKey)
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -27,6 +27,8 @@
     void beginStop();
 
 private:
+    void onStoreItems(std::span<const adapter::StoreItem> items, SteadyTime mayReturnUntil);
+    void onStoreChange(const adapter::KeyChange& change, SteadyTime mayReturnUntil);
     void onDeclaration(const adapter::StoreItem& item);
     void onTargets(std::span<const adapter::StoreItem> items, SteadyTime mayReturnUntil);
     void onTargetChange(const adapter::KeyChange& change, SteadyTime mayReturnUntil);
@@ -42,8 +44,8 @@
     channels::EventLoop& m_loop;
     GatewayContext m_context;
     channels::ConnectionPool m_storePool;
-    storefeed::StoreFeed m_declarations;
-    storefeed::StoreFeed m_targets;
+    /** Follows all keys: a watch for each kind of key would cost as many calls each. */
+    storefeed::StoreFeed m_storeFeed;
     PeerGroup m_peers;
     RoleCoordinator m_roles;
     CacheInventory m_cacheInventory;
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -30,9 +30,6 @@
     , m_ownAddress(ownAddress)
     , m_id(context.settings.id)
     , m_startedAt(unixNow())
-    , m_feed(context.loop, storePool, store,
-          { std::string(storefeed::GatewayPrefix), storefeed::Polling {} },
-          { [this](std::span<const adapter::StoreItem> items, SteadyTime) { onPeers(items); }, {} })
     , m_port(context.loop, ownAddress, [this](std::string_view datagram) { onDatagram(datagram); })
     , m_renewTimer(context.loop)
     , m_sendTimer(context.loop)
@@ -52,7 +49,6 @@
         scheduleSend();
     };
     m_context.crashQuarantine.setPublisher(std::move(publisher));
-    m_feed.start();
     announce();
     m_resendTimer.arm(ResendInterval, [this] { resendReports(); });
 }
@@ -124,7 +120,7 @@
         });
 }
 
-void PeerGroup::onPeers(std::span<const adapter::StoreItem> items)
+void PeerGroup::onAnnouncements(std::span<const adapter::StoreItem> items)
 {
     const size_t before = m_peers.size();
     m_peers.clear();
@@ -134,6 +130,18 @@
         updateGatewayCount();
 }
 
+void PeerGroup::onAnnouncementChange(const adapter::KeyChange& change)
+{
+    const size_t before = m_peers.size();
+    if (const adapter::KeyWritten* written = std::get_if<adapter::KeyWritten>(&change))
+        addPeer(written->item);
+    else
+        m_peers.erase(EntryId(
+            std::get<adapter::KeyDeleted>(change).key.substr(storefeed::GatewayPrefix.size())));
+    if (m_peers.size() != before)
+        updateGatewayCount();
+}
+
 void PeerGroup::addPeer(const adapter::StoreItem& item)
 {
     const std::optional<fleet::Address> address = fleet::parseAddress(item.value);
--- a/apps/gateway/PeerGroup.h
+++ b/apps/gateway/PeerGroup.h
@@ -17,6 +17,10 @@
         const fleet::Address& store, const fleet::Address& ownAddress);
 
     void start();
+    /** Replaces the known gateways by those that the store lists. */
+    void onAnnouncements(std::span<const adapter::StoreItem> items);
+    /** Another gateway announced itself, or its announcement expired. */
+    void onAnnouncementChange(const adapter::KeyChange& change);
     /** This gateway's work at a target has changed. */
     void noteLoad(const TargetId& target, const dispatch::Load& load);
     /** The target's address turned out to belong to another target. */
@@ -44,7 +48,6 @@
 
     void onUpdate(const peers::Update& update, SteadyTime now);
     void noteRoleReport(const roles::RoleReport& report, bool isFromSidecar, SteadyTime now);
-    void onPeers(std::span<const adapter::StoreItem> items);
     void addPeer(const adapter::StoreItem& item);
     void updateGatewayCount();
     void announce();
@@ -63,7 +66,6 @@
     fleet::Address m_ownAddress;
     EntryId m_id;
     UnixMillis m_startedAt;
-    storefeed::StoreFeed m_feed;
     channels::DatagramPort m_port;
     std::map<EntryId, fleet::Address> m_peers;
     std::map<EntryId, PeerDemand> m_demands;
--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-    /** A declaration that is older may lack a route that the operators have added. */
-    constexpr Milliseconds MaxTrustedDeclarationAge { 4000 };
     constexpr Milliseconds StartRetryAfter { 1000 };
     /** Targets that restart are in the store again some heartbeats later. */
     constexpr Milliseconds NoTargetRetryAfter { 2000 };
@@ -86,7 +84,8 @@
     }
     m_route = m_routes->match(m_callerInfo.host, m_request.head.target);
     if (!m_route) {
-        if (m_context.declarationAge() > MaxTrustedDeclarationAge)
+        // An older declaration may lack a route that the operators have added.
+        if (m_context.declarationAge() > m_context.settings.applyTime)
             refuse(
                 Unavailable, "no route matches, but the declaration may be stale", StartRetryAfter);
         else
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -278,6 +278,10 @@
     uint16_t sidecarPort = 0;
     /** Time from the stop signal until the process is killed. */
     Milliseconds stopGrace { 8000 };
+    /** Within this time a new declaration must be in force. */
+    Milliseconds applyTime { 2000 };
+    /** Within this time a leaving target must cease to get new work. */
+    Milliseconds drainTime { 2000 };
     RetryLimits retries;
     /** The whole system starts for the first time, so no engine has cached prompt parts yet. */
     bool isFirstStart = false;
--- a/libs/settings/src/GatewayAndSidecarSettings.cpp
+++ b/libs/settings/src/GatewayAndSidecarSettings.cpp
@@ -10,7 +10,7 @@
 
     constexpr double MsPerSecond = 1000;
 
-    constexpr std::array<KeyRule, 12> GatewayRules {
+    constexpr std::array<KeyRule, 14> GatewayRules {
         KeyRule { "", "id", ValueKind::Text, true },
         KeyRule { "", "zone", ValueKind::Text, true },
         KeyRule { "", "callers", ValueKind::Address, true },
@@ -21,6 +21,8 @@
         KeyRule { "", "retry_share", ValueKind::Real, true, 0, 10 },
         KeyRule { "", "retry_fixed_part", ValueKind::Real, true, 0, 1e6 },
         KeyRule { "", "retry_window_s", ValueKind::Real, true, 0.1, 3600 },
+        KeyRule { "", "apply_time_ms", ValueKind::Integer, true, 100, 3600000 },
+        KeyRule { "", "drain_time_ms", ValueKind::Integer, true, 100, 3600000 },
         KeyRule { "", "sidecar_port", ValueKind::Integer, true, 1, 65535 },
         KeyRule { "", "first_start", ValueKind::Flag, false },
     };
@@ -68,6 +70,8 @@
     gateway.callers = reader.text("callers");
     gateway.readiness = reader.text("readiness");
     gateway.stopGrace = readSeconds(reader, "stop_grace_s");
+    gateway.applyTime = Milliseconds(reader.number<int64_t>("apply_time_ms", 0));
+    gateway.drainTime = Milliseconds(reader.number<int64_t>("drain_time_ms", 0));
     gateway.retries.share = reader.real("retry_share", 0);
     gateway.retries.fixedPart = reader.real("retry_fixed_part", 0);
     gateway.retries.window = readSeconds(reader, "retry_window_s");
--- a/libs/storefeed/include/storefeed/StoreFeed.h
+++ b/libs/storefeed/include/storefeed/StoreFeed.h
@@ -9,23 +9,8 @@
 /** Key prefix under which each gateway registers itself, by its id. */
 inline constexpr std::string_view GatewayPrefix = "citronspoke/gateways/";
 
-/** Long-polls a watch: changes arrive at once, and each response costs another store call. */
-struct Watching {
-    /** How long the store holds a watch request open while nothing changes. */
-    Milliseconds longPollTimeout { 0 };
-    /** Delay after a change before the next watch request, so that further changes are batched. */
-    Milliseconds coalesceDelay { 0 };
-};
-/** Reads the range periodically: cheap for the store, but the data may be seconds old. */
-struct Polling {
-    /** Mean time between reads; each delay is jittered. */
-    Milliseconds interval { 3000 };
-    /** Used instead in the first seconds of the process. */
-    Milliseconds startupInterval { 1000 };
-};
-
 /**
- * Follows all keys under a prefix: reads the range once and then watches it, or polls the range.
+ * Follows all keys under a prefix: reads the range once and then watches it.
  * Failed requests are retried with exponential backoff. While the store is unreachable, the data
  * last read stays in use and becomes stale. Runs on the thread of its event loop, as do the
  * handlers.
@@ -40,12 +25,17 @@
          * outage.
          */
         std::function<void(std::span<const adapter::StoreItem>, SteadyTime mayReturnUntil)> onRange;
-        /** Called for each change while watching; unused while polling. */
+        /** Called for each later change. */
         std::function<void(const adapter::KeyChange&, SteadyTime mayReturnUntil)> onChange;
     };
     struct Options {
+        /** Empty for all keys. */
         std::string prefix;
-        std::variant<Watching, Polling> mode;
+        /** How long the store holds a watch request open while nothing changes. */
+        Milliseconds longPollTimeout { 0 };
+        /** Delay after a change before the next watch request, so that further changes are batched;
+         * each response costs another store call. */
+        Milliseconds coalesceDelay { 0 };
     };
 
     StoreFeed(channels::EventLoop& loop, channels::ConnectionPool& pool,
@@ -64,9 +54,7 @@
 private:
     void readPage(std::string_view after);
     void onPage(const std::optional<channels::CallResponse>& response);
-    void continueFollowing();
-    void watch(const Watching& watching);
-    void schedulePoll(const Polling& polling);
+    void watch();
     void onWatch(const std::optional<channels::CallResponse>& response);
     void recordResponse();
     void scheduleRetry(std::string_view cause);
@@ -80,7 +68,6 @@
     Options m_options;
     Handlers m_handlers;
     channels::Timer m_timer;
-    SteadyTime m_startedAt;
     std::shared_ptr<void> m_call;
     std::vector<adapter::StoreItem> m_pageItems;
     adapter::StoreRevision m_rangeRevision;
--- a/libs/storefeed/src/StoreFeed.cpp
+++ b/libs/storefeed/src/StoreFeed.cpp
@@ -19,16 +19,6 @@
     constexpr Milliseconds ReregistrationGrace { 2000 };
     /** During a shorter store outage no target record expires. */
     constexpr Milliseconds MinExpiringOutage { 1500 };
-    constexpr Milliseconds StartupPeriod { 10000 };
-
-    /** Expected time between two responses of a reachable store, without jitter. */
-    struct ExpectedResponseInterval {
-        Milliseconds operator()(const Watching& watching) const
-        {
-            return watching.longPollTimeout + watching.coalesceDelay;
-        }
-        Milliseconds operator()(const Polling& polling) const { return polling.interval; }
-    };
 
 } // namespace
 
@@ -40,7 +30,6 @@
     , m_options(options)
     , m_handlers(std::move(handlers))
     , m_timer(loop)
-    , m_startedAt(steadyNow())
 {
 }
 
@@ -65,11 +54,7 @@
 {
     if (after.empty())
         m_pageItems.clear();
-    const adapter::Freshness freshness = std::holds_alternative<Polling>(m_options.mode)
-        ? adapter::Freshness::StaleAllowed
-        : adapter::Freshness::Newest;
-    send(
-        adapter::rangeCall(m_options.prefix, after, freshness), RequestTimeout, &StoreFeed::onPage);
+    send(adapter::rangeCall(m_options.prefix, after), RequestTimeout, &StoreFeed::onPage);
 }
 
 void StoreFeed::onPage(const std::optional<channels::CallResponse>& response)
@@ -93,28 +78,13 @@
     m_hasRange = true;
     m_handlers.onRange(m_pageItems, mayReturnUntil());
     m_pageItems.clear();
-    continueFollowing();
-}
-
-void StoreFeed::continueFollowing()
-{
-    if (const Watching* watching = std::get_if<Watching>(&m_options.mode))
-        watch(*watching);
-    else
-        schedulePoll(std::get<Polling>(m_options.mode));
-}
-
-void StoreFeed::watch(const Watching& watching)
-{
-    send(adapter::watchCall(m_options.prefix, m_watchRevision, watching.longPollTimeout),
-        watching.longPollTimeout + RequestTimeout, &StoreFeed::onWatch);
+    watch();
 }
 
-void StoreFeed::schedulePoll(const Polling& polling)
+void StoreFeed::watch()
 {
-    const bool isStartingUp = steadyNow() - m_startedAt < StartupPeriod;
-    const Milliseconds interval = isStartingUp ? polling.startupInterval : polling.interval;
-    m_timer.arm(jittered(interval), [this] { readPage({}); });
+    send(adapter::watchCall(m_options.prefix, m_watchRevision, m_options.longPollTimeout),
+        m_options.longPollTimeout + RequestTimeout, &StoreFeed::onWatch);
 }
 
 void StoreFeed::onWatch(const std::optional<channels::CallResponse>& response)
@@ -138,11 +108,10 @@
     for (const adapter::KeyChange& change : changes.changes)
         m_handlers.onChange(change, mayReturnUntil());
     m_watchRevision = std::max(m_watchRevision, changes.revision);
-    const Milliseconds coalesceDelay = std::get<Watching>(m_options.mode).coalesceDelay;
-    if (changes.changes.empty() || coalesceDelay == Milliseconds(0))
-        continueFollowing();
+    if (changes.changes.empty() || m_options.coalesceDelay == Milliseconds(0))
+        watch();
     else
-        m_timer.arm(coalesceDelay, [this] { continueFollowing(); });
+        m_timer.arm(m_options.coalesceDelay, [this] { watch(); });
 }
 
 void StoreFeed::recordResponse()
@@ -154,7 +123,7 @@
                 { "failures", std::to_string(m_consecutiveFailures) } });
         if (m_lastResponse
             && now - *m_lastResponse
-                >= MinExpiringOutage + std::visit(ExpectedResponseInterval {}, m_options.mode))
+                >= MinExpiringOutage + m_options.longPollTimeout + m_options.coalesceDelay)
             m_recoveredAt = now;
     }
     m_consecutiveFailures = 0;
@@ -172,7 +141,7 @@
     const Milliseconds delay = std::min(MaxRetryDelay, FirstRetryDelay * (1 << doublings));
     m_timer.arm(jittered(delay), [this] {
         if (m_hasRange)
-            continueFollowing();
+            watch();
         else
             readPage({});
     });
