Updates of peers: incarnations are not ordered by the time of day

Cause: found by reading. The filter of stale datagrams took a lower start time for an older incarnation. A gateway whose clock jumps ahead (clock_step), that restarts and whose clock is then set back, would be ignored by its peers for as long as the jump, in both its restarts.

Change: a start time that differs is another incarnation; the last eight are remembered, so that their late datagrams stay rejected.

Also tests of the codec of role messages.

--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -46,7 +46,8 @@
 /** The content of one datagram. */
 struct Update {
     EntryId sender;
-    /** Identifies the incarnation of the sender; sequence numbers restart with each. */
+    /** Identifies the incarnation of the sender; sequence numbers restart with each. Not ordered,
+     * because the sender's clock may have been set back between two starts. */
     UnixMillis senderStartedAt;
     /** Grows by one with each update of an incarnation; the first is 1. */
     uint64_t sequenceNumber = 0;
@@ -114,6 +115,8 @@
     struct LastAccepted {
         UnixMillis startedAt;
         uint64_t sequenceNumber = 0;
+        /** Recent earlier incarnations, whose datagrams may still arrive; the latest first. */
+        std::deque<UnixMillis> ended;
     };
     std::map<EntryId, LastAccepted> m_lastAccepted;
 };
--- a/libs/peers/src/Outbox.cpp
+++ b/libs/peers/src/Outbox.cpp
@@ -1,5 +1,6 @@
 #include "peers/Peers.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace citronspoke::peers {
@@ -75,13 +76,21 @@
 
 bool StaleUpdateFilter::accept(const Update& update)
 {
+    constexpr size_t MaxEnded = 8;
     LastAccepted& last = m_lastAccepted[update.sender];
-    const bool isNewIncarnation = update.senderStartedAt > last.startedAt;
-    if (!isNewIncarnation
-        && (update.senderStartedAt < last.startedAt
-            || update.sequenceNumber <= last.sequenceNumber))
-        return false;
-    last = { update.senderStartedAt, update.sequenceNumber };
+    if (update.senderStartedAt == last.startedAt) {
+        if (update.sequenceNumber <= last.sequenceNumber)
+            return false;
+    } else {
+        if (std::find(last.ended.begin(), last.ended.end(), update.senderStartedAt)
+            != last.ended.end())
+            return false;
+        last.ended.push_front(last.startedAt);
+        if (last.ended.size() > MaxEnded)
+            last.ended.pop_back();
+        last.startedAt = update.senderStartedAt;
+    }
+    last.sequenceNumber = update.sequenceNumber;
     return true;
 }
 
--- a/libs/peers/tests/PeersTests.cpp
+++ b/libs/peers/tests/PeersTests.cpp
@@ -64,6 +64,62 @@
     cr_assert_not(filter.accept(update));
 }
 
+Test(updates, of_a_sender_that_restarts_after_its_clock_was_set_back_are_accepted)
+{
+    StaleUpdateFilter filter;
+    Update update;
+    update.sender = EntryId("g");
+    update.senderStartedAt = UnixMillis(5000);
+    update.sequenceNumber = 9;
+    cr_assert(filter.accept(update));
+    update.senderStartedAt = UnixMillis(3000);
+    update.sequenceNumber = 1;
+    cr_assert(filter.accept(update));
+    update.sequenceNumber = 2;
+    cr_assert(filter.accept(update));
+    // A late datagram of the incarnation before.
+    update.senderStartedAt = UnixMillis(5000);
+    update.sequenceNumber = 10;
+    cr_assert_not(filter.accept(update));
+}
+
+Test(role_messages, survive_encoding)
+{
+    const roles::RoleRequest request { EntryId("g"), { "10.0.0.1", 7380 },
+        { TargetId("e"), UnixMillis(7), EngineRole::Decode }, 5 };
+    const roles::RoleRequest decoded = decodeRoleRequest(encode(request));
+    cr_expect(decoded.gateway == request.gateway && decoded.replyTo == request.replyTo);
+    cr_expect(decoded.change == request.change);
+    cr_expect_eq(decoded.planners, request.planners);
+    Outbox outbox;
+    const roles::RoleReport report { TargetId("e"), UnixMillis(7), EngineRole::Prefill, true };
+    outbox.add(report);
+    outbox.add(DemandReport { PoolId("p"), { 1.5, 7.25 } });
+    outbox.addUnreachable(TargetId("lost"));
+    const std::vector<std::string> datagrams = outbox.takeDatagrams(EntryId("side"), UnixMillis(1));
+    cr_assert_eq(datagrams.size(), 1U);
+    const Update update = decode(datagrams.front());
+    cr_assert_eq(update.roles.size(), 1U);
+    cr_expect(update.roles.front() == report);
+    cr_assert_eq(update.demands.size(), 1U);
+    cr_expect_eq(update.demands.front().demand.prefillEngines, 7.25);
+    cr_expect(update.unreachable == std::vector<TargetId> { TargetId("lost") });
+}
+
+Test(role_messages, that_cannot_be_decoded_throw_update_unreadable)
+{
+    for (const std::string& bytes : { std::string(), std::string("text"),
+             encode(roles::RoleRequest {}), std::string("\x96\xa1g\xa1x") }) {
+        bool isRejected = false;
+        try {
+            decodeRoleRequest(bytes);
+        } catch (const UpdateUnreadable&) {
+            isRejected = true;
+        }
+        cr_expect(isRejected);
+    }
+}
+
 Test(updates, that_cannot_be_decoded_throw_update_unreadable)
 {
     for (const std::string_view bytes : { "", "\xc1", "text", "\x95\xa1g\x05" }) {
