Only connections that cannot be opened make an engine look lost

Change: only connections that could not be opened count, for the gateway itself and in its reports. The log line with the number of gateways is written when a number changes (it came twice a second for 15 s after a gateway had started).

Measured: load_pattern/engines_that_lose_many_responses... fails without the change.

--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -157,6 +157,10 @@
         [now](const auto& item) { return now - item.second > GatewayCountRetention; });
     // While gateways are added and removed, the largest recent count gives the smallest budget.
     m_context.retryBudget.updateEntries(m_recentGatewayCounts.rbegin()->first);
+    const std::pair<size_t, uint32_t> counts { m_peers.size(),
+        m_recentGatewayCounts.rbegin()->first };
+    if (std::exchange(m_loggedGatewayCounts, counts) == counts)
+        return;
     telemetry::logInfo("peers", "The number of gateways changed.",
         { { "gateways", std::to_string(m_peers.size()) },
             { "counted", std::to_string(m_recentGatewayCounts.rbegin()->first) } });
--- a/apps/gateway/PeerGroup.h
+++ b/apps/gateway/PeerGroup.h
@@ -28,7 +28,7 @@
     /** An engine has these prompt parts in its cache. */
     void noteCachedParts(const TargetId& engine, std::span<const fleet::PromptPart> parts);
 
-    /** A target could not be reached, or broke off its response. */
+    /** No connection to a target could be opened. */
     void noteUnreachable(const TargetId& target);
     /** @return the demand of all gateways that reported lately, with this one's own. */
     roles::Demand totalDemand(const PoolId& pool, SteadyTime now) const;
@@ -71,6 +71,8 @@
     std::map<EntryId, PeerDemand> m_demands;
     /** Recent numbers of gateways, each with the time at which it was last current. */
     std::map<uint32_t, SteadyTime> m_recentGatewayCounts;
+    /** The gateways that are announced, and the number that the retry budget is divided by. */
+    std::pair<size_t, uint32_t> m_loggedGatewayCounts;
     peers::Outbox m_outbox;
     peers::StaleUpdateFilter m_staleUpdateFilter;
     std::optional<adapter::StoreLease> m_lease;
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -138,11 +138,8 @@
         m_context.peers->noteUnreachable(m_attempt->target.id);
         endAttempt(dispatch::AttemptResult::Unreachable);
         break;
-    case Outcome::Unknown:
-        m_context.peers->noteUnreachable(m_attempt->target.id);
-        endAttempt(dispatch::AttemptResult::Failed);
-        break;
     case Outcome::FailedByTarget:
+    case Outcome::Unknown:
         endAttempt(dispatch::AttemptResult::Failed);
         break;
     }
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -98,7 +98,10 @@
     bool isConnected = false;
     uint32_t consecutiveFailures = 0;
     uint32_t consecutiveRefusals = 0;
-    SteadyTime lastFailure {};
+    /** Connections in a row that could not be opened. A response that is lost or broken off does
+     * not count: many engines may lose some responses at the same time and still serve. */
+    uint32_t consecutiveUnreachable = 0;
+    SteadyTime lastUnreachable {};
     /** When other entries last reported that they could not reach the target; cleared when this
      * one can. */
     std::map<EntryId, SteadyTime> peerFailures;
@@ -115,7 +118,7 @@
     bool isAvoided(SteadyTime now) const;
     /**
      * @return whether the target seems to be gone, although its record is still in the store: this
-     *         entry failed at it repeatedly, or several entries did at the same time.
+     *         entry could not connect to it repeatedly, or several entries could not lately.
      */
     bool isSuspectedLost(SteadyTime now) const;
 };
--- a/libs/dispatch/src/TargetDirectory.cpp
+++ b/libs/dispatch/src/TargetDirectory.cpp
@@ -14,9 +14,8 @@
     constexpr Milliseconds StaleRecordLifetime { 5000 };
     /** A single failure may be caused by the request; consecutive ones point to the target. */
     constexpr uint32_t ToleratedFailures = 1;
-    /** So many failures in a row are hardly caused by requests. */
     constexpr uint32_t FailuresOfLostTarget = 3;
-    /** Entries that fail at a target within this time of each other point to its loss. */
+    /** Entries that cannot reach a target within this time of each other point to its loss. */
     constexpr Milliseconds PeerFailureLifetime { 2000 };
     constexpr size_t EntriesOfLostTarget = 2;
     /** A target that got no request for this time may be back. */
@@ -72,11 +71,12 @@
         = [now](const auto& failure) { return now - failure.second <= PeerFailureLifetime; };
     const size_t peers
         = static_cast<size_t>(std::count_if(peerFailures.begin(), peerFailures.end(), isRecent));
-    const bool hasFailedHere = consecutiveFailures > 0 && now - lastFailure <= PeerFailureLifetime;
+    const bool hasFailedHere
+        = consecutiveUnreachable > 0 && now - lastUnreachable <= PeerFailureLifetime;
     if (peers + (hasFailedHere ? 1 : 0) >= EntriesOfLostTarget)
         return true;
-    return consecutiveFailures >= FailuresOfLostTarget && now - lastFailure <= SuspicionLifetime
-        && avoidUntil > now;
+    return consecutiveUnreachable >= FailuresOfLostTarget
+        && now - lastUnreachable <= SuspicionLifetime && avoidUntil > now;
 }
 
 bool TargetDirectory::put(const fleet::TargetRecord& record)
@@ -234,12 +234,14 @@
     case AttemptResult::Served:
         state->consecutiveFailures = 0;
         state->consecutiveRefusals = 0;
+        state->consecutiveUnreachable = 0;
         state->peerFailures.clear();
         state->avoidUntil = {};
         return;
     case AttemptResult::Refused:
         // A full target is avoided for a moment, one that keeps refusing for longer.
         state->consecutiveRefusals += 1;
+        state->consecutiveUnreachable = 0;
         state->avoidUntil = now + avoidanceAfter(state->consecutiveRefusals - 1);
         return;
     case AttemptResult::Replaced:
@@ -247,13 +249,13 @@
         return;
     case AttemptResult::Failed:
         state->consecutiveFailures += 1;
-        state->lastFailure = now;
         if (state->consecutiveFailures > ToleratedFailures)
             state->avoidUntil = now + avoidanceAfter(state->consecutiveFailures);
         return;
     case AttemptResult::Unreachable:
         state->consecutiveFailures += 1;
-        state->lastFailure = now;
+        state->consecutiveUnreachable += 1;
+        state->lastUnreachable = now;
         state->avoidUntil = now + avoidanceAfter(state->consecutiveFailures);
         return;
     }
--- a/libs/dispatch/tests/TargetDirectoryTests.cpp
+++ b/libs/dispatch/tests/TargetDirectoryTests.cpp
@@ -172,3 +172,15 @@
     directory.noteResult(id, AttemptResult::Unreachable, Start);
     cr_expect(directory.find(id)->isSuspectedLost(Start));
 }
+
+Test(load_pattern, engines_that_lose_many_responses_are_not_taken_for_lost)
+{
+    TargetDirectory directory;
+    directory.put(target("a"));
+    const TargetId id("a");
+    for (int failure = 0; failure < 10; ++failure)
+        directory.noteResult(id, AttemptResult::Failed, Start);
+    cr_expect_not(directory.find(id)->isSuspectedLost(Start));
+    directory.notePeerFailure(id, EntryId("peer-1"), Start);
+    cr_expect_not(directory.find(id)->isSuspectedLost(Start));
+}
