Role planner: a change that is no longer wanted counts as no failure; update in steps

Cause: found while splitting update() on reading it again.

Change: only a change whose role the engine has taken counts as begun. update() is split by step.

--- a/libs/roles/include/roles/Roles.h
+++ b/libs/roles/include/roles/Roles.h
@@ -128,7 +128,11 @@
         RoleChange change;
         SteadyTime at;
     };
+    void updateDecodeEngines(
+        std::span<const PlannedEngine> engines, const Demand& demand, SteadyTime now);
     uint32_t heldDecodeEngines(const RoleSplit& split, SteadyTime now);
+    /** @return whether to request the change now; an engine that ignores it is passed over. */
+    bool isDue(WantedChange& wanted, SteadyTime now);
     /** An engine that has returned to its former role is not chosen again for some time. */
     void passOverIfFailed(const fleet::TargetRecord& record, SteadyTime now);
     std::set<TargetId> passedOver(SteadyTime now);
--- a/libs/roles/src/RolePlanner.cpp
+++ b/libs/roles/src/RolePlanner.cpp
@@ -23,6 +23,11 @@
     /** The engine finishes its work before it changes. */
     constexpr Milliseconds LongestRoleChange { 15000 };
 
+    bool isUsable(const PlannedEngine& engine)
+    {
+        return engine.record.role && !engine.record.isLeaving && !engine.isLost;
+    }
+
 } // namespace
 
 RolePlanner::RolePlanner(SteadyTime start, bool isFirstStart)
@@ -74,47 +79,57 @@
         m_begunChanges.erase(begun);
 }
 
-std::vector<RoleChange> RolePlanner::update(
+void RolePlanner::updateDecodeEngines(
     std::span<const PlannedEngine> engines, const Demand& demand, SteadyTime now)
 {
-    size_t usable = 0;
-    for (const PlannedEngine& engine : engines)
-        usable += engine.record.role && !engine.record.isLeaving && !engine.isLost ? 1 : 0;
+    const size_t usable
+        = static_cast<size_t>(std::count_if(engines.begin(), engines.end(), isUsable));
     const uint32_t held = heldDecodeEngines(splitRoles(usable, demand), now);
     // The held number may stem from a time with more engines.
     m_decodeEngines = usable < 2 ? static_cast<uint32_t>(usable)
                                  : std::min(held, static_cast<uint32_t>(usable - 1));
+}
+
+bool RolePlanner::isDue(WantedChange& wanted, SteadyTime now)
+{
+    if (now - wanted.since < delayBefore(wanted.change.role, now))
+        return false;
+    if (!wanted.requestedAt)
+        wanted.requestedAt = now;
+    const bool isIgnored
+        = wanted.change.role == EngineRole::Decode && now - *wanted.requestedAt >= ResponseTimeout;
+    if (isIgnored)
+        m_passedOverUntil[wanted.change.engine] = now + PassOverTime;
+    return !isIgnored;
+}
+
+std::vector<RoleChange> RolePlanner::update(
+    std::span<const PlannedEngine> engines, const Demand& demand, SteadyTime now)
+{
+    updateDecodeEngines(engines, demand, now);
     const std::set<TargetId> decodeEngines
         = chooseDecodeEngines(engines, m_decodeEngines, passedOver(now));
-
     std::map<TargetId, WantedChange> wantedBefore = std::exchange(m_wantedChanges, {});
     std::vector<RoleChange> due;
     for (const PlannedEngine& engine : engines) {
-        const fleet::TargetRecord& record = engine.record;
-        if (!record.role || record.isLeaving || engine.isLost)
+        if (!isUsable(engine))
             continue;
+        const fleet::TargetRecord& record = engine.record;
         passOverIfFailed(record, now);
-        const EngineRole role
-            = decodeEngines.contains(record.id) ? EngineRole::Decode : EngineRole::Prefill;
-        if (role == *record.role) {
-            const auto before = wantedBefore.find(record.id);
-            if (before != wantedBefore.end() && before->second.requestedAt)
+        const RoleChange change { record.id, record.startedAt,
+            decodeEngines.contains(record.id) ? EngineRole::Decode : EngineRole::Prefill };
+        const auto before = wantedBefore.find(record.id);
+        const bool wasWanted = before != wantedBefore.end();
+        if (change.role == *record.role) {
+            if (wasWanted && before->second.requestedAt && before->second.change == change)
                 m_begunChanges[record.id] = { before->second.change, now };
             continue;
         }
-        WantedChange wanted { { record.id, record.startedAt, role }, now, std::nullopt };
-        const auto before = wantedBefore.find(record.id);
-        if (before != wantedBefore.end() && before->second.change == wanted.change)
+        WantedChange wanted { change, now, std::nullopt };
+        if (wasWanted && before->second.change == change)
             wanted = before->second;
-        if (now - wanted.since >= delayBefore(role, now)) {
-            if (!wanted.requestedAt)
-                wanted.requestedAt = now;
-            if (now - *wanted.requestedAt >= ResponseTimeout && role == EngineRole::Decode) {
-                m_passedOverUntil[record.id] = now + PassOverTime;
-                continue;
-            }
-            due.push_back(wanted.change);
-        }
+        if (isDue(wanted, now))
+            due.push_back(change);
         m_wantedChanges.emplace(record.id, wanted);
     }
     return due;
--- a/libs/roles/tests/RolePlannerTests.cpp
+++ b/libs/roles/tests/RolePlannerTests.cpp
@@ -118,6 +118,22 @@
     cr_assert(fleet[4].record.role == EngineRole::Decode);
 }
 
+Test(load_pattern, an_engine_whose_change_is_no_longer_wanted_can_be_chosen_later)
+{
+    Fleet fleet(12, 2);
+    fleet.run(Milliseconds(3000));
+    fleet.deaf = { TargetId("e2") };
+    fleet[0].isLost = true;
+    fleet.run(Milliseconds(600));
+    // The lost engine is back before the other one has begun its change.
+    fleet[0].isLost = false;
+    fleet.run(Milliseconds(300));
+    fleet.deaf.clear();
+    fleet[0].isLost = true;
+    fleet.run(Milliseconds(600));
+    cr_assert(fleet[2].record.role == EngineRole::Decode);
+}
+
 Test(load_pattern, a_brief_silence_of_a_decode_engine_changes_no_role)
 {
     Fleet fleet(12, 2);
