Gateway: log the request limit that a target states

Change: the adapter decodes Server-Limit as a number of requests a second; a new library, conditions, keeps what each incarnation of a target has stated; the gateway logs each change under [limits] with the request that showed it. Nothing is limited yet. A limit ends only with the response to a request that was sent after the limit was last stated, because responses on different connections overtake each other.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -166,8 +166,10 @@
     const dispatch::TargetState* before = m_context.directory.find(record.id);
     if (before && before->record.role != record.role)
         m_context.reportedRoles.noteRecordChanged(record.id);
-    if (m_context.directory.put(record))
+    if (m_context.directory.put(record)) {
         m_context.prefixCacheIndex.removeEngine(record.id);
+        m_context.statedLimits.remove(record.id);
+    }
 }
 
 void Gateway::startCacheInventory()
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CrashQuarantine.h"
+#include "conditions/Conditions.h"
 #include "dispatch/Dispatch.h"
 #include "roles/Roles.h"
 #include "settings/Settings.h"
@@ -26,6 +27,7 @@
     /** The demand of this gateway's requests. */
     std::map<PoolId, roles::DemandMeter> demandMeters;
     roles::ReportedRoles reportedRoles;
+    conditions::StatedLimits statedLimits;
     dispatch::RetryBudget retryBudget;
     /** Requests that may crash the targets that run them. */
     CrashQuarantine crashQuarantine;
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -97,6 +97,8 @@
         adapter::TargetRequestFields fields);
 
     bool isOwnResponse(const http1::ResponseHead& head) const;
+    /** Follows the request limit that the target states in the current response. */
+    void noteStatedLimit();
     void onHead(const http1::ResponseHead& head);
     void onBody(std::string_view bytes);
     void relayEvents(std::string_view bytes);
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -22,6 +22,11 @@
             != NotRunStatuses.end();
     }
 
+    std::string limitText(std::optional<double> limit)
+    {
+        return limit ? std::to_string(*limit) : "none";
+    }
+
 } // namespace
 
 bool RequestHandler::isOwnResponse(const http1::ResponseHead& head) const
@@ -34,6 +39,7 @@
 {
     m_attempt->head = head;
     m_attempt->responseInfo = adapter::decodeResponseHead(head);
+    noteStatedLimit();
     if (m_attempt->step == Step::Prefill || m_attempt->responseInfo.isNotExecuted)
         return;
     if (!isSuccess(head.status) || !m_attempt->responseInfo.isSigned)
@@ -57,6 +63,31 @@
     m_writer->beginBody(head.status, head.reason, adapter::responseHeadersForCaller(head));
 }
 
+void RequestHandler::noteStatedLimit()
+{
+    const adapter::ResponseInfo& info = m_attempt->responseInfo;
+    const fleet::TargetRecord& target = m_attempt->target;
+    // Another target has responded.
+    if (info.isOtherTarget)
+        return;
+    if (info.isLimitUnreadable) {
+        telemetry::logWarning("limits", "A response states an unreadable request limit.",
+            { { "id", m_callerInfo.attempt.text() }, { "target", target.id.text() } });
+        return;
+    }
+    // A failure may be made by something in between that knows of no limit.
+    if (!info.requestLimit && !isSuccess(m_attempt->head->status))
+        return;
+    const std::optional<double> before = m_context.statedLimits.limit(target);
+    if (!m_context.statedLimits.noteResponse(
+            target, info.requestLimit, m_attempt->startedAt, steadyNow()))
+        return;
+    telemetry::logInfo("limits", "A target's request limit changed.",
+        { { "target", target.id.text() }, { "per_s", limitText(info.requestLimit) },
+            { "before", limitText(before) }, { "by", "response" },
+            { "id", m_callerInfo.attempt.text() } });
+}
+
 void RequestHandler::onBody(std::string_view bytes)
 {
     if (m_attempt->isRelayed)
