Keep the request limits that targets state, over all gateways

Cause: the gateways did not know the limit. A limit is for all gateways together, so that knowing it is not enough: each must keep to a part of it. Change: a gateway tells the others at once what a response states; the latest statement counts, and a limit ends with a response to a later request. RequestPacer gives each gateway an even share, among as many gateways as get half a request a second each, chosen by rendezvous hashing, and paces the sends of that share. What was sent before counts while it is in the window of 4 s that the target counts. Placement, retries and resumed streams choose among the targets that take a request now; a request waits at most 300 ms for a booked turn, less when it is less urgent, and is refused at once otherwise, before its prompt is prefilled. New setting limit_notice_ms. Why it works: no share depends on messages; a lost report only delays the limit until the gateway's own next response.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -168,7 +168,7 @@
         m_context.reportedRoles.noteRecordChanged(record.id);
     if (m_context.directory.put(record)) {
         m_context.prefixCacheIndex.removeEngine(record.id);
-        m_context.statedLimits.remove(record.id);
+        m_context.enginesShortOfTurns.erase(record.id);
     }
 }
 
@@ -184,8 +184,11 @@
         const TargetId id(removed->key.substr(adapter::TargetPrefix.size()));
         const SteadyTime now = steadyNow();
         m_context.directory.remove(id, mayReturnUntil, now);
-        if (mayReturnUntil <= now)
+        if (mayReturnUntil <= now) {
             m_context.prefixCacheIndex.removeEngine(id);
+            m_context.pacer.remove(id);
+            m_context.enginesShortOfTurns.erase(id);
+        }
         telemetry::logInfo("targets", "An entry is gone.",
             { { "target", id.text() }, { "may_return", mayReturnUntil > now ? "yes" : "no" } });
         return;
--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -1,6 +1,7 @@
 #include "GatewayContext.h"
 
 #include "PeerGroup.h"
+#include "telemetry/Telemetry.h"
 
 namespace citronspoke::gateway {
 
@@ -9,6 +10,7 @@
     , settings(settings)
     , zone(settings.zone)
     , targetConnections(loop, {})
+    , pacer(EntryId(settings.id), settings.limitNoticeTime)
     , retryBudget({ settings.retries.share, settings.retries.fixedPart, settings.retries.window },
           steadyNow())
     , m_random(std::random_device {}())
@@ -34,6 +36,28 @@
         peers->noteLoad(target, state->ownLoad);
 }
 
+void GatewayContext::noteLimitChanged(
+    const TargetId& target, std::string_view source, const RequestId& request)
+{
+    const dispatch::TargetState* state = directory.find(target);
+    std::optional<conditions::StatedLimits::Limit> limit;
+    if (state)
+        limit = statedLimits.limit(state->record);
+    if (!limit)
+        enginesShortOfTurns.erase(target);
+    telemetry::logInfo("limits", "A target's request limit changed.",
+        { { "target", target.text() },
+            { "per_s", limit ? std::to_string(limit->requestsPerSecond) : "none" },
+            { "by", std::string(source) }, { "id", request.text() } });
+    telemetry::count("limit_changes", { { "by", std::string(source) } });
+}
+
+std::optional<SteadyTime> GatewayContext::nextTurn(
+    const fleet::TargetRecord& target, SteadyTime now)
+{
+    return pacer.nextTurn(target.id, statedLimits.limit(target), now);
+}
+
 void GatewayContext::noteCachedParts(
     const TargetId& engine, std::span<const fleet::PromptPart> parts)
 {
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -27,7 +27,11 @@
     /** The demand of this gateway's requests. */
     std::map<PoolId, roles::DemandMeter> demandMeters;
     roles::ReportedRoles reportedRoles;
+    /** The request limits that targets state, and this gateway's part of them. */
     conditions::StatedLimits statedLimits;
+    conditions::RequestPacer pacer;
+    /** Decode engines that left a request without a turn; until their limits end. */
+    std::set<TargetId> enginesShortOfTurns;
     dispatch::RetryBudget retryBudget;
     /** Requests that may crash the targets that run them. */
     CrashQuarantine crashQuarantine;
@@ -42,6 +46,15 @@
     /** Work at a target begins or ends; the new load is published to the other gateways. */
     void noteStarted(const TargetId& target, const dispatch::Load& load);
     void noteFinished(const TargetId& target, const dispatch::Load& load);
+    /**
+     * The request limit of a target has begun, changed or ended.
+     * @param source how this gateway learned of it, for the log.
+     * @param request the request whose response stated it, if any.
+     */
+    void noteLimitChanged(
+        const TargetId& target, std::string_view source, const RequestId& request = {});
+    /** @return when the target takes the next request from this gateway; none: not at all. */
+    std::optional<SteadyTime> nextTurn(const fleet::TargetRecord& target, SteadyTime now);
     /** An engine has these prompt parts in its cache. */
     void noteCachedParts(const TargetId& engine, std::span<const fleet::PromptPart> parts);
 
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -122,23 +122,26 @@
 
 void PeerGroup::onAnnouncements(std::span<const adapter::StoreItem> items)
 {
-    const size_t before = m_peers.size();
     m_peers.clear();
     for (const adapter::StoreItem& item : items)
         addPeer(item);
-    if (m_peers.size() != before)
-        updateGatewayCount();
+    updateGateways();
 }
 
 void PeerGroup::onAnnouncementChange(const adapter::KeyChange& change)
 {
-    const size_t before = m_peers.size();
     if (const adapter::KeyWritten* written = std::get_if<adapter::KeyWritten>(&change))
         addPeer(written->item);
     else
         m_peers.erase(EntryId(
             std::get<adapter::KeyDeleted>(change).key.substr(storefeed::GatewayPrefix.size())));
-    if (m_peers.size() != before)
+    updateGateways();
+}
+
+void PeerGroup::updateGateways()
+{
+    m_context.pacer.updateGateways(gateways());
+    if (m_peers.size() != m_loggedGatewayCounts.first)
         updateGatewayCount();
 }
 
@@ -213,6 +216,9 @@
         m_outbox.add(std::move(report));
         scheduleSend();
     }
+    noteStatedLimits();
+    for (const TargetId& target : m_context.statedLimits.expire(steadyNow()))
+        m_context.noteLimitChanged(target, "expiry");
     for (const auto& [pool, meter] : m_context.demandMeters) {
         m_outbox.add(peers::DemandReport { pool, meter.demand(steadyNow()) });
         scheduleSend();
@@ -237,6 +243,10 @@
         m_context.crashQuarantine.mergeCleared(fingerprint);
     for (const TargetId& target : update.unreachable)
         m_context.directory.notePeerFailure(target, update.sender, now);
+    for (const conditions::LimitReport& report : update.limits) {
+        if (m_context.statedLimits.merge(report, now))
+            m_context.noteLimitChanged(report.target, "gateway");
+    }
     const bool isFromSidecar = !m_peers.contains(update.sender);
     for (const roles::RoleReport& report : update.roles)
         noteRoleReport(report, isFromSidecar, now);
@@ -262,6 +272,14 @@
     }
 }
 
+void PeerGroup::noteStatedLimits()
+{
+    for (const conditions::LimitReport& report : m_context.statedLimits.takeReports(steadyNow())) {
+        m_outbox.add(report);
+        scheduleSend();
+    }
+}
+
 void PeerGroup::noteUnreachable(const TargetId& target)
 {
     m_outbox.addUnreachable(target);
--- a/apps/gateway/PeerGroup.h
+++ b/apps/gateway/PeerGroup.h
@@ -28,6 +28,9 @@
     /** An engine has these prompt parts in its cache. */
     void noteCachedParts(const TargetId& engine, std::span<const fleet::PromptPart> parts);
 
+    /** A response has begun, changed or ended the request limit of its target. */
+    void noteStatedLimits();
+
     /** No connection to a target could be opened. */
     void noteUnreachable(const TargetId& target);
     /** @return the demand of all gateways that reported lately, with this one's own. */
@@ -49,6 +52,7 @@
     void onUpdate(const peers::Update& update, SteadyTime now);
     void noteRoleReport(const roles::RoleReport& report, bool isFromSidecar, SteadyTime now);
     void addPeer(const adapter::StoreItem& item);
+    void updateGateways();
     void updateGatewayCount();
     void announce();
     void writeAnnouncement(adapter::StoreLease lease);
--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -35,6 +35,7 @@
     , m_request(std::move(request))
     , m_writer(&writer)
     , m_deadlineTimer(context.loop)
+    , m_turnTimer(context.loop)
 {
 }
 
@@ -104,12 +105,12 @@
 void RequestHandler::sendNext()
 {
     const bool isPrompt = m_pool->engine && m_callerInfo.prompt && m_route->carriesPrompts;
-    bool isSent = false;
+    bool isTakenCareOf = false;
     if (isPrompt)
-        isSent = m_prefilledPrompt ? sendDecode() : sendPrefill();
-    if (!isSent && !m_prefilledPrompt)
-        isSent = sendWhole();
-    if (isSent)
+        isTakenCareOf = m_prefilledPrompt ? sendDecode() : sendPrefill();
+    if (!isTakenCareOf && !m_prefilledPrompt)
+        isTakenCareOf = sendWhole();
+    if (isTakenCareOf)
         return;
     if (m_ranOn.empty())
         refuse(Unavailable, "no usable target",
@@ -120,16 +121,15 @@
 
 bool RequestHandler::sendWhole()
 {
-    std::vector<dispatch::TargetState*> states
-        = m_context.directory.usable(m_pool->id, steadyNow());
+    TargetStates states = m_context.directory.usable(m_pool->id, steadyNow());
     // A prefill engine runs no whole requests.
     std::erase_if(states, [](const dispatch::TargetState* state) {
         return state->record.role == EngineRole::Prefill;
     });
-    dispatch::TargetState* state = dispatch::chooseTarget(
-        states, m_excludedTargets, m_context.zone, m_context.randomFraction(), steadyNow());
+    dispatch::TargetState* state = dispatch::chooseTarget(readyTargets(states), m_excludedTargets,
+        m_context.zone, m_context.randomFraction(), steadyNow());
     if (!state)
-        return false;
+        return awaitTurn(states);
     dispatch::Load load { 1, {}, 0 };
     if (m_callerInfo.prompt)
         load.usedCacheTokens = m_callerInfo.prompt->tokens + m_callerInfo.prompt->outputLimit;
@@ -141,22 +141,23 @@
 
 bool RequestHandler::sendPrefill()
 {
-    if (m_context.enginesInRole(m_pool->id, EngineRole::Decode).empty())
+    const TargetStates decodeEngines = m_context.enginesInRole(m_pool->id, EngineRole::Decode);
+    if (decodeEngines.empty())
         return false;
-    const std::vector<dispatch::TargetState*> states
-        = m_context.enginesInRole(m_pool->id, EngineRole::Prefill);
-    const std::vector<dispatch::TargetState*> cachingEngines
-        = m_context.directory.allInPool(m_pool->id, steadyNow());
+    if (!bookDecodeTurn(decodeEngines))
+        return true;
+    const TargetStates states = m_context.enginesInRole(m_pool->id, EngineRole::Prefill);
+    const TargetStates cachingEngines = m_context.directory.allInPool(m_pool->id, steadyNow());
     for (dispatch::TargetState* state : states)
         state->isConnected = m_context.targetConnections.hasIdle(
             { state->record.address, state->record.id.text() });
     const dispatch::PromptGoal goal { m_route->priority, m_route->latencyObjective - age(),
         m_context.zone };
-    const dispatch::PromptPlacement placement = dispatch::placePrompt(states, cachingEngines,
-        *m_callerInfo.prompt, goal, m_context.prefixCacheIndex, m_context.prefillSpeeds[m_pool->id],
-        m_excludedTargets, steadyNow());
+    const dispatch::PromptPlacement placement = dispatch::placePrompt(readyTargets(states),
+        cachingEngines, *m_callerInfo.prompt, goal, m_context.prefixCacheIndex,
+        m_context.prefillSpeeds[m_pool->id], m_excludedTargets, steadyNow());
     if (!placement.engine)
-        return false;
+        return awaitTurn(states);
     if (m_attempts == 0)
         m_context.demandMeters[m_pool->id].notePrompt(
             m_context.prefillSpeeds[m_pool->id].estimate(placement.tokensToPrefill), steadyNow());
@@ -176,12 +177,12 @@
 
 bool RequestHandler::sendDecode()
 {
-    const std::vector<dispatch::TargetState*> states
-        = m_context.enginesInRole(m_pool->id, EngineRole::Decode);
-    dispatch::TargetState* state = dispatch::chooseDecodeEngine(states, m_excludedTargets,
-        m_prefilledPrompt->prefillEngine.zone, m_callerInfo.prompt->tokens, steadyNow());
+    const TargetStates states = m_context.enginesInRole(m_pool->id, EngineRole::Decode);
+    dispatch::TargetState* state
+        = dispatch::chooseDecodeEngine(readyTargets(states), m_excludedTargets,
+            m_prefilledPrompt->prefillEngine.zone, m_callerInfo.prompt->tokens, steadyNow());
     if (!state)
-        return false;
+        return awaitTurn(states);
     adapter::TargetRequestFields fields;
     fields.stage = adapter::DecodeFromHandle { m_prefilledPrompt->prefillEngine.address,
         m_prefilledPrompt->handle };
@@ -209,6 +210,8 @@
     if (m_pool->engine && !fields.priority)
         fields.priority = std::min(m_route->priority, LowestPriority);
     m_context.noteStarted(target.id, load);
+    if (!std::exchange(m_isTurnBooked, false))
+        m_context.pacer.book(target.id, m_attempt->startedAt);
     const std::weak_ptr<RequestHandler> weak = weak_from_this();
     const uint32_t number = m_attempts;
     const auto current = [weak, number]() -> std::shared_ptr<RequestHandler> {
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -82,20 +82,47 @@
         std::string handle;
     };
 
+    /** A booked time at which a target with a request limit takes a request. */
+    struct Turn {
+        TargetId target;
+        SteadyTime at;
+    };
+
     /** A target's own response that is not a success. */
     struct TargetFailure {
         http1::ResponseHead head;
         std::string body;
     };
 
+    using TargetStates = std::vector<dispatch::TargetState*>;
+
     bool findRoute();
     void sendNext();
+    // Each returns whether the request is taken care of: sent, waiting for its turn or refused.
     bool sendWhole();
     bool sendPrefill();
     bool sendDecode();
     void send(Step step, const fleet::TargetRecord& target, const dispatch::Load& load,
         adapter::TargetRequestFields fields);
 
+    /** @return the targets that take a request now; for a booked turn that has come, its target. */
+    TargetStates readyTargets(const TargetStates& states);
+    /** @return the earliest turn at a target that is not excluded; it is not booked. */
+    std::optional<Turn> earliestTurn(const TargetStates& states);
+    /**
+     * Waits for the earliest turn, or refuses the request when that is too late.
+     * @return false when there is no target to wait for.
+     */
+    bool awaitTurn(const TargetStates& states);
+    /**
+     * Before a prompt is prefilled: books a turn when all decode engines have limits.
+     * @return false when the request was refused, because there is none in time.
+     */
+    bool bookDecodeTurn(const TargetStates& decodeEngines);
+    bool isInTime(const Turn& turn) const;
+    void refuseForLimits(const TargetStates& states, const std::optional<Turn>& turn);
+    void cancelTurn(std::optional<Turn>& turn);
+
     bool isOwnResponse(const http1::ResponseHead& head) const;
     /** Follows the request limit that the target states in the current response. */
     void noteStatedLimit();
@@ -148,6 +175,13 @@
     SteadyTime m_deadline;
     channels::Timer m_deadlineTimer;
     std::unique_ptr<Attempt> m_attempt;
+    /** For the next send. */
+    std::optional<Turn> m_turn;
+    /** For the decode of a prompt that is being prefilled. */
+    std::optional<Turn> m_decodeTurn;
+    /** The next send uses a turn that was booked. */
+    bool m_isTurnBooked = false;
+    channels::Timer m_turnTimer;
     std::optional<PrefilledPrompt> m_prefilledPrompt;
     uint32_t m_attempts = 0;
     /** Targets that have, or may have, run the request. */
--- a/apps/gateway/RequestHandlerOutcomes.cpp
+++ b/apps/gateway/RequestHandlerOutcomes.cpp
@@ -122,6 +122,9 @@
 {
     m_isOver = true;
     m_deadlineTimer.cancel();
+    m_turnTimer.cancel();
+    cancelTurn(m_turn);
+    cancelTurn(m_decodeTurn);
     std::string step;
     std::string stepTime;
     if (m_attempt) {
@@ -162,6 +165,8 @@
         return;
     const fleet::TargetRecord& prefillEngine = m_prefilledPrompt->prefillEngine;
     constexpr Milliseconds ReleaseTimeout { 1000 };
+    // Not delayed, because it frees memory there, but counted.
+    m_context.pacer.book(prefillEngine.id, steadyNow());
     // The call keeps itself alive until it ends; a handle that is not released expires by
     // itself.
     const std::shared_ptr<std::shared_ptr<void>> own = std::make_shared<std::shared_ptr<void>>();
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -22,11 +22,6 @@
             != NotRunStatuses.end();
     }
 
-    std::string limitText(std::optional<double> limit)
-    {
-        return limit ? std::to_string(*limit) : "none";
-    }
-
 } // namespace
 
 bool RequestHandler::isOwnResponse(const http1::ResponseHead& head) const
@@ -78,14 +73,11 @@
     // A failure may be made by something in between that knows of no limit.
     if (!info.requestLimit && !isSuccess(m_attempt->head->status))
         return;
-    const std::optional<double> before = m_context.statedLimits.limit(target);
-    if (!m_context.statedLimits.noteResponse(
-            target, info.requestLimit, m_attempt->startedAt, steadyNow()))
-        return;
-    telemetry::logInfo("limits", "A target's request limit changed.",
-        { { "target", target.id.text() }, { "per_s", limitText(info.requestLimit) },
-            { "before", limitText(before) }, { "by", "response" },
-            { "id", m_callerInfo.attempt.text() } });
+    if (m_context.statedLimits.noteResponse(
+            target, info.requestLimit, m_attempt->startedAt, steadyNow())) {
+        m_context.noteLimitChanged(target.id, "response", m_callerInfo.attempt);
+        m_context.peers->noteStatedLimits();
+    }
 }
 
 void RequestHandler::onBody(std::string_view bytes)
@@ -192,6 +184,7 @@
             m_context.peers->noteCachedParts(m_attempt->target.id, m_callerInfo.prompt->parts);
             // Attempts at decode engines start with no target excluded.
             m_excludedTargets.clear();
+            m_turn = std::exchange(m_decodeTurn, std::nullopt);
             sendNext();
             return;
         } catch (const adapter::DocumentUnreadable& unreadable) {
--- /dev/null
+++ b/apps/gateway/RequestHandlerTurns.cpp
@@ -0,0 +1,150 @@
+// Turns at targets that state a request limit.
+#include "Durations.h"
+#include "RequestHandler.h"
+#include "Statuses.h"
+#include "telemetry/Telemetry.h"
+
+#include <algorithm>
+
+namespace citronspoke::gateway {
+
+namespace {
+
+    /** Longest wait for a turn of a request of the most urgent priority. Less urgent ones wait
+     * less, so that the turns that are still free go to more urgent ones. */
+    constexpr Milliseconds LongestTurnWait { 300 };
+    /** A wait of more than this fraction (1/n) of the time until the objective makes it late. */
+    constexpr int TurnWaitDivisor = 2;
+    /** Callers accept a wait of at most this fraction (1/n) of their remaining time. */
+    constexpr int RetryAfterDivisor = 3;
+    /** Callers that are refused come back spread over this time: no more are served at once. */
+    constexpr Milliseconds ReturnPeriod { 2000 };
+
+} // namespace
+
+RequestHandler::TargetStates RequestHandler::readyTargets(const TargetStates& states)
+{
+    const SteadyTime now = steadyNow();
+    TargetStates ready;
+    dispatch::TargetState* booked = nullptr;
+    for (dispatch::TargetState* state : states) {
+        if (m_excludedTargets.contains(state->record.id))
+            continue;
+        const bool isBooked = m_turn && m_turn->target == state->record.id;
+        if (isBooked && m_context.statedLimits.limit(state->record))
+            booked = state;
+        else if (m_context.nextTurn(state->record, now) == now)
+            ready.push_back(state);
+    }
+    if (m_turn && (!booked || !ready.empty())) {
+        cancelTurn(m_turn);
+    } else if (m_turn && m_turn->at <= now) {
+        m_turn.reset();
+        m_isTurnBooked = true;
+        ready.push_back(booked);
+    }
+    return ready;
+}
+
+std::optional<RequestHandler::Turn> RequestHandler::earliestTurn(const TargetStates& states)
+{
+    const SteadyTime now = steadyNow();
+    std::optional<Turn> earliest;
+    for (const dispatch::TargetState* state : states) {
+        if (m_excludedTargets.contains(state->record.id))
+            continue;
+        const std::optional<SteadyTime> turn = m_context.nextTurn(state->record, now);
+        if (turn && (!earliest || *turn < earliest->at))
+            earliest = Turn { state->record.id, *turn };
+    }
+    return earliest;
+}
+
+bool RequestHandler::isInTime(const Turn& turn) const
+{
+    const Milliseconds longest
+        = std::min(LongestTurnWait, (m_route->latencyObjective - age()) / TurnWaitDivisor);
+    return turn.at - steadyNow() <= longest / (1 + m_route->priority);
+}
+
+bool RequestHandler::awaitTurn(const TargetStates& states)
+{
+    const bool hasTarget
+        = std::any_of(states.begin(), states.end(), [this](const dispatch::TargetState* state) {
+              return !m_excludedTargets.contains(state->record.id);
+          });
+    if (!hasTarget)
+        return false;
+    if (!m_turn) {
+        const std::optional<Turn> turn = earliestTurn(states);
+        if (!turn || !isInTime(*turn)) {
+            refuseForLimits(states, turn);
+            return true;
+        }
+        m_context.pacer.book(turn->target, turn->at);
+        m_turn = turn;
+    }
+    const Milliseconds wait
+        = std::chrono::duration_cast<Milliseconds>(m_turn->at - steadyNow()) + Milliseconds(1);
+    telemetry::logInfo("request", "Waiting for a turn.",
+        { { "id", m_callerInfo.attempt.text() }, { "target", m_turn->target.text() },
+            { "wait_ms", millisecondsText(wait) } });
+    const std::weak_ptr<RequestHandler> weak = weak_from_this();
+    m_turnTimer.arm(wait, [weak] {
+        if (const std::shared_ptr<RequestHandler> self = weak.lock())
+            self->sendNext();
+    });
+    return true;
+}
+
+bool RequestHandler::bookDecodeTurn(const TargetStates& decodeEngines)
+{
+    const bool hasUnlimited = std::any_of(
+        decodeEngines.begin(), decodeEngines.end(), [this](const dispatch::TargetState* state) {
+            return !m_context.statedLimits.limit(state->record);
+        });
+    if (m_decodeTurn || hasUnlimited)
+        return true;
+    const std::optional<Turn> turn = earliestTurn(decodeEngines);
+    if (!turn || !isInTime(*turn)) {
+        refuseForLimits(decodeEngines, turn);
+        return false;
+    }
+    m_context.pacer.book(turn->target, turn->at);
+    m_decodeTurn = turn;
+    return true;
+}
+
+void RequestHandler::refuseForLimits(const TargetStates& states, const std::optional<Turn>& turn)
+{
+    const bool needsDecode = m_callerInfo.prompt && m_pool->engine;
+    for (const dispatch::TargetState* state : states) {
+        if (needsDecode && m_context.statedLimits.limit(state->record)
+            && m_context.reportedRoles.withReportedRole(state->record, steadyNow()).role
+                == EngineRole::Decode)
+            m_context.enginesShortOfTurns.insert(state->record.id);
+    }
+    constexpr std::string_view Cause = "all targets are at their request limits";
+    telemetry::count("refused_for_limits");
+    if (!m_ranOn.empty()) {
+        fail(Cause);
+        return;
+    }
+    const Milliseconds longest = std::min(ReturnPeriod, timeLeft() / RetryAfterDivisor);
+    Milliseconds earliest { 0 };
+    if (turn)
+        earliest = std::clamp(std::chrono::duration_cast<Milliseconds>(turn->at - steadyNow()),
+            Milliseconds(0), longest);
+    const Milliseconds spread(static_cast<int64_t>(
+        m_context.randomFraction() * static_cast<double>((longest - earliest).count())));
+    refuse(Unavailable, Cause, earliest + spread);
+}
+
+void RequestHandler::cancelTurn(std::optional<Turn>& turn)
+{
+    if (turn)
+        m_context.pacer.cancel(turn->target, turn->at);
+    turn.reset();
+}
+
+} // namespace citronspoke::gateway
--- a/apps/gateway/tests/LimitTests.cpp
+++ b/apps/gateway/tests/LimitTests.cpp
@@ -23,18 +23,32 @@
     GatewayFixture::Script script()
     {
         return [this](const FakeRequest& request, FakeConnection& connection) {
-            {
-                std::lock_guard lock(m_mutex);
-                m_arrivals.push_back(steadyNow());
-            }
-            http1::Headers headers;
-            headers.add("X-Attempt-Id", request.field("X-Attempt-Id"));
-            headers.add("X-Server-Stamp", "stamp");
-            headers.add("Server-Limit", std::to_string(Limit));
-            connection.answer(200, headers, "ok");
+            noteArrival();
+            connection.answer(200, responseHeaders(request), "ok");
+        };
+    }
+
+    /** @return a script that streams one event. */
+    GatewayFixture::Script streamScript()
+    {
+        return [this](const FakeRequest& request, FakeConnection& connection) {
+            noteArrival();
+            http1::Headers headers = responseHeaders(request);
+            headers.add("Content-Type", "text/event-stream");
+            headers.add("Transfer-Encoding", "chunked");
+            connection.send(http1::composeResponse(200, "OK", headers)
+                + http1::composeChunk(eventText(1)) + std::string(http1::LastChunk));
         };
     }
 
+    void endLimit() { m_isLimited = false; }
+
+    size_t arrivals() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_arrivals.size();
+    }
+
     /** @return the most requests that arrived within a window since the rule holds. */
     size_t mostInWindow() const
     {
@@ -54,10 +68,37 @@
     }
 
 private:
+    void noteArrival()
+    {
+        std::lock_guard lock(m_mutex);
+        m_arrivals.push_back(steadyNow());
+    }
+
+    http1::Headers responseHeaders(const FakeRequest& request) const
+    {
+        http1::Headers headers;
+        headers.add("X-Attempt-Id", request.field("X-Attempt-Id"));
+        headers.add("X-Server-Stamp", "stamp");
+        if (m_isLimited)
+            headers.add("Server-Limit", std::to_string(Limit));
+        return headers;
+    }
+
     mutable std::mutex m_mutex;
     std::vector<SteadyTime> m_arrivals;
+    std::atomic<bool> m_isLimited { true };
 };
 
+const std::string PromptLines = "X-Model: m\r\nX-Token-Counts: 1460,80\r\n"
+                                "X-Prefix-Hash: 5c1e:800,91bd:660\r\n";
+
+void prefillPrompt(const FakeRequest& request, FakeConnection& connection)
+{
+    http1::Headers headers;
+    headers.add("X-Attempt-Id", request.field("X-Attempt-Id"));
+    connection.answer(200, headers, R"({"kvHandle":"h1","tokens":1460,"version":1})");
+}
+
 } // namespace
 
 // Guards against incident inc1: engines got as many requests after they had stated a limit as
@@ -82,3 +123,56 @@
     cr_expect_gt(limited.mostInWindow(), 0U, "a target with a limit is still used");
     cr_assert_leq(limited.mostInWindow(), AllowedInWindow);
 }
+
+// Guards against a limit that is still kept after the target has ceased to state it.
+Test(limits, end_once_a_target_no_longer_states_them)
+{
+    LimitedTarget limited;
+    GatewayFixture fixture;
+    fixture.addRoute("/a/", Repeatable);
+    fixture.declare(1);
+    fixture.addTarget("limited", "app", limited.script());
+    fixture.start();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
+    cr_assert_eq(sendRequest(fixture, requestText("GET", "/a/x", "a0")).status, 200U);
+    const CallerResponse refused = sendRequest(fixture, requestText("GET", "/a/x", "a1"));
+    cr_assert_eq(refused.status, 503U, "the only target takes no request yet");
+    cr_assert(refused.headers.find("Retry-After").has_value());
+    cr_assert_eq(limited.arrivals(), 1U);
+    limited.endLimit();
+    GatewayFixture::waitUntil(
+        [&] { return sendRequest(fixture, requestText("GET", "/a/x", "a2")).status == 200U; });
+    for (int attempt = 0; attempt < 20; ++attempt)
+        cr_assert_eq(
+            sendRequest(fixture, requestText("GET", "/a/x", "b" + std::to_string(attempt))).status,
+            200U);
+}
+
+// Guards against prompts that are prefilled although no decode engine takes them in time.
+Test(load_pattern, a_prompt_is_refused_at_once_when_all_decode_engines_are_at_their_limits)
+{
+    LimitedTarget first;
+    LimitedTarget second;
+    GatewayFixture fixture;
+    fixture.addRoute("/s/", { "streaming", "llm", 5000, 2, false, true });
+    fixture.declare(1);
+    fixture.addTarget("prefill", "llm", prefillPrompt, "prefill");
+    fixture.addTarget("decode-1", "llm", first.streamScript(), "decode");
+    fixture.addTarget("decode-2", "llm", second.streamScript(), "decode");
+    fixture.start();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
+    size_t served = 0;
+    size_t refused = 0;
+    for (int attempt = 0; attempt < 40; ++attempt) {
+        const CallerResponse response = sendRequest(fixture,
+            requestText("POST", "/s/x", "a" + std::to_string(attempt), PromptLines, "prompt"));
+        cr_assert(response.status == 200 || response.status == 503);
+        cr_assert(response.status == 200 || response.headers.find("Retry-After").has_value());
+        (response.status == 200 ? served : refused) += 1;
+        std::this_thread::sleep_for(Milliseconds(25));
+    }
+    cr_assert_gt(served, 2U);
+    cr_assert_gt(refused, 0U);
+    cr_assert_eq(fixture.seenBy("prefill"), served);
+    cr_assert_eq(first.arrivals() + second.arrivals(), served);
+}
--- a/libs/conditions/include/conditions/Conditions.h
+++ b/libs/conditions/include/conditions/Conditions.h
@@ -3,6 +3,8 @@
 #include "fleet/Fleet.h"
 
 #include <map>
+#include <set>
+#include <span>
 
 /**
  * Conditions under which targets take requests, as they state them in their responses. Pure code:
@@ -13,7 +15,22 @@
 /** A number of requests a second. */
 using RequestsPerSecond = double;
 
-/** The request limits that targets state: each takes so many from all gateways together. */
+/** A gateway's report of what a target states, for the other gateways. */
+struct LimitReport {
+    TargetId target;
+    UnixMillis targetStartedAt;
+    /** None when the target states no limit any more. */
+    std::optional<RequestsPerSecond> limit;
+    /** Time since the response that stated it. */
+    Milliseconds age { 0 };
+    /** Time since the target first stated a limit; 0 without a limit. */
+    Milliseconds ageOfFirst { 0 };
+};
+
+/**
+ * The request limits that targets state: each takes so many requests from all gateways together.
+ * The latest statement counts, whichever gateway received it.
+ */
 class StatedLimits {
 public:
     /**
@@ -26,19 +43,80 @@
      */
     bool noteResponse(const fleet::TargetRecord& target, std::optional<RequestsPerSecond> limit,
         SteadyTime sentAt, SteadyTime now);
-    /** @return the limit that this incarnation of the target states; none without a limit. */
-    std::optional<RequestsPerSecond> limit(const fleet::TargetRecord& target) const;
-    /** The target is gone, or another incarnation of it has started. */
-    void remove(const TargetId& target) { m_limits.erase(target); }
+    /**
+     * Another gateway reports what a target states.
+     * @return whether the limit of the target has begun, changed or ended.
+     */
+    bool merge(const LimitReport& report, SteadyTime now);
+    /** @return what own responses have stated since the last call, for the other gateways. */
+    std::vector<LimitReport> takeReports(SteadyTime now);
+    /** Drops limits that no gateway has seen stated for a long time. @return their targets. */
+    std::vector<TargetId> expire(SteadyTime now);
 
-private:
+    /** What an incarnation of a target states. */
     struct Limit {
-        UnixMillis targetStartedAt;
         RequestsPerSecond requestsPerSecond = 0;
-        /** When the target last stated it. */
+        SteadyTime firstStatedAt;
+    };
+    /** @return none when this incarnation of the target states no limit. */
+    std::optional<Limit> limit(const fleet::TargetRecord& target) const;
+
+private:
+    struct Statement {
+        UnixMillis targetStartedAt;
+        /** None once the limit has ended; kept to reject reports that are older. */
+        std::optional<Limit> limit;
         SteadyTime statedAt;
+        bool isReported = false;
+    };
+    std::map<TargetId, Statement> m_statements;
+};
+
+/**
+ * Paces a gateway's requests to targets with a limit, so that those of all gateways together stay
+ * within it. The limit is split evenly among as many gateways as get a useful rate each; all
+ * gateways find the same ones by rendezvous hashing, without communication.
+ */
+class RequestPacer {
+public:
+    /** Targets count the requests of a sliding window of this length. */
+    static constexpr Milliseconds Window { 4000 };
+
+    /**
+     * @param self the id of this gateway.
+     * @param noticeTime time from the first statement of a limit until it has to be kept.
+     */
+    RequestPacer(EntryId self, Milliseconds noticeTime);
+    /** Replaces the known gateways. */
+    void updateGateways(std::span<const EntryId> gateways);
+
+    /**
+     * @param limit as the target states it; none for a target without a limit.
+     * @return when this gateway may send the next request to the target, not before @p now; none
+     *         when it may send none, because the limit is split among other gateways.
+     */
+    std::optional<SteadyTime> nextTurn(
+        const TargetId& target, const std::optional<StatedLimits::Limit>& limit, SteadyTime now);
+    /** A request is sent at that time, which may be in the future. */
+    void book(const TargetId& target, SteadyTime turn);
+    /** A booked request is not sent. */
+    void cancel(const TargetId& target, SteadyTime turn);
+    /** The target is gone. */
+    void remove(const TargetId& target) { m_targets.erase(target); }
+
+private:
+    struct Target {
+        /** When requests of the last window were sent, and those that are booked. */
+        std::multiset<SteadyTime> turns;
+        /** Gateways that come before this one when a limit is split; none until needed. */
+        std::optional<size_t> position;
     };
-    std::map<TargetId, Limit> m_limits;
+    size_t positionOf(const TargetId& target) const;
+
+    EntryId m_self;
+    Milliseconds m_noticeTime;
+    std::vector<EntryId> m_otherGateways;
+    std::map<TargetId, Target> m_targets;
 };
 
 } // namespace citronspoke::conditions
--- /dev/null
+++ b/libs/conditions/src/RequestPacer.cpp
@@ -0,0 +1,96 @@
+#include "conditions/Conditions.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace citronspoke::conditions {
+
+namespace {
+
+    /** A limit is split into shares of at least this rate. Each gateway may send one request at any
+     * moment, so that many small shares would add up to a burst. */
+    constexpr RequestsPerSecond SmallestShare = 0.5;
+    /** A lower limit, or 0, still gets a request now and then, which shows when the limit ends. */
+    constexpr RequestsPerSecond LowestRate = 0.25;
+    /** Requests of one window beyond an even pace, as a factor; what was sent before the limit was
+     * known counts in the first windows. */
+    constexpr double WindowSlack = 1.25;
+
+    using Seconds = std::chrono::duration<double>;
+
+} // namespace
+
+RequestPacer::RequestPacer(EntryId self, Milliseconds noticeTime)
+    : m_self(std::move(self))
+    , m_noticeTime(noticeTime)
+{
+}
+
+void RequestPacer::updateGateways(std::span<const EntryId> gateways)
+{
+    m_otherGateways.clear();
+    for (const EntryId& gateway : gateways) {
+        if (gateway != m_self)
+            m_otherGateways.push_back(gateway);
+    }
+    for (auto& [target, state] : m_targets)
+        state.position.reset();
+}
+
+size_t RequestPacer::positionOf(const TargetId& target) const
+{
+    const uint64_t own = rendezvousRank(m_self.text(), target.text());
+    const auto isBefore = [own, &target](const EntryId& gateway) {
+        return rendezvousRank(gateway.text(), target.text()) < own;
+    };
+    return static_cast<size_t>(
+        std::count_if(m_otherGateways.begin(), m_otherGateways.end(), isBefore));
+}
+
+std::optional<SteadyTime> RequestPacer::nextTurn(
+    const TargetId& target, const std::optional<StatedLimits::Limit>& limit, SteadyTime now)
+{
+    if (!limit)
+        return now;
+    Target& state = m_targets[target];
+    if (!state.position)
+        state.position = positionOf(target);
+    const double rate = std::max(limit->requestsPerSecond, LowestRate);
+    const size_t shares = std::clamp<size_t>(
+        static_cast<size_t>(rate / SmallestShare), 1, m_otherGateways.size() + 1);
+    if (*state.position >= shares)
+        return std::nullopt;
+    if (state.turns.empty())
+        return now;
+    const Seconds interval(static_cast<double>(shares) / rate);
+    const SteadyTime paced
+        = *state.turns.rbegin() + std::chrono::duration_cast<SteadyTime::duration>(interval);
+    // Requests that leave every window before the limit has to be kept do not count.
+    const SteadyTime countedAfter
+        = std::max(now - Window, limit->firstStatedAt + m_noticeTime - Window);
+    const auto counted = state.turns.upper_bound(countedAfter);
+    const size_t inWindow = static_cast<size_t>(std::distance(counted, state.turns.end()));
+    const size_t most = static_cast<size_t>(std::ceil(WindowSlack * (Seconds(Window) / interval)));
+    const SteadyTime free = inWindow < most
+        ? now
+        : *std::prev(state.turns.end(), static_cast<ptrdiff_t>(most)) + Window;
+    return std::max({ now, paced, free });
+}
+
+void RequestPacer::book(const TargetId& target, SteadyTime turn)
+{
+    std::multiset<SteadyTime>& turns = m_targets[target].turns;
+    turns.insert(turn);
+    // A turn may be booked some time ahead.
+    turns.erase(turns.begin(), turns.lower_bound(turn - 2 * Window));
+}
+
+void RequestPacer::cancel(const TargetId& target, SteadyTime turn)
+{
+    std::multiset<SteadyTime>& turns = m_targets[target].turns;
+    const auto booked = turns.find(turn);
+    if (booked != turns.end())
+        turns.erase(booked);
+}
+
+} // namespace citronspoke::conditions
--- a/libs/conditions/tests/StatedLimitsTests.cpp
+++ b/libs/conditions/tests/StatedLimitsTests.cpp
@@ -29,7 +29,7 @@
     cr_assert(limits.noteResponse(engine(1), 4.4, at(60), at(210)));
     cr_assert_not(limits.noteResponse(engine(1), std::nullopt, at(150), at(220)),
         "the request was sent before the limit was last stated");
-    cr_assert(limits.limit(engine(1)) == 4.4);
+    cr_assert(limits.limit(engine(1))->requestsPerSecond == 4.4);
     cr_assert(limits.noteResponse(engine(1), std::nullopt, at(230), at(300)));
     cr_assert_not(limits.limit(engine(1)).has_value());
 }
@@ -40,5 +40,5 @@
     limits.noteResponse(engine(1), 4.5, at(0), at(100));
     cr_assert_not(limits.limit(engine(2)).has_value());
     cr_assert_not(limits.noteResponse(engine(2), std::nullopt, at(200), at(300)));
-    cr_assert(limits.limit(engine(1)) == 4.5);
+    cr_assert(limits.limit(engine(1))->requestsPerSecond == 4.5);
 }
--- a/libs/model/include/model/Model.h
+++ b/libs/model/include/model/Model.h
@@ -130,6 +130,12 @@
 /** 64-bit FNV-1a hash: the same in every process and build, so that processes can agree on it. */
 uint64_t stableHash(std::string_view text) noexcept;
 
+/**
+ * @return the rank of a candidate for a key, as rendezvous hashing compares them; unlike the plain
+ *         hash of both texts, it differs widely between similar texts.
+ */
+uint64_t rendezvousRank(std::string_view candidate, std::string_view key);
+
 /**
  * @return @p base changed at random by up to 25 % in either direction, so that periodic work of
  * several processes does not coincide.
--- a/libs/model/src/Model.cpp
+++ b/libs/model/src/Model.cpp
@@ -95,6 +95,16 @@
     return hash;
 }
 
+uint64_t rendezvousRank(std::string_view candidate, std::string_view key)
+{
+    constexpr uint64_t Multiplier = 0xff51afd7ed558ccdULL;
+    constexpr int HalfBits = 32;
+    uint64_t rank = stableHash(std::string(candidate).append("/").append(key));
+    rank ^= rank >> HalfBits;
+    rank *= Multiplier;
+    return rank ^ (rank >> HalfBits);
+}
+
 Milliseconds jittered(Milliseconds base)
 {
     std::uniform_real_distribution<double> factor(0.75, 1.25);
--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -1,12 +1,14 @@
 #pragma once
 
+#include "conditions/Conditions.h"
 #include "dispatch/Dispatch.h"
 #include "roles/Roles.h"
 
 /**
  * Datagrams between the processes of the system. Gateways exchange updates: work in flight, cached
- * prompt parts, crash reports, lost and replaced targets, roles and the demand for them. They
- * request role changes from sidecars, which report roles in updates of their own.
+ * prompt parts, crash reports, lost and replaced targets, request limits that targets state, roles
+ * and the demand for them. They request role changes from sidecars, which report roles in updates
+ * of their own.
  */
 namespace citronspoke::peers {
 
@@ -62,6 +64,7 @@
     std::vector<TargetId> unreachable;
     std::vector<roles::RoleReport> roles;
     std::vector<DemandReport> demands;
+    std::vector<conditions::LimitReport> limits;
 };
 
 /** @return the update as a MessagePack array. */
@@ -86,6 +89,7 @@
     void addUnreachable(const TargetId& target) { m_unreachable.insert(target); }
     void add(const roles::RoleReport& report) { m_roles.push_back(report); }
     void add(const DemandReport& report) { m_demands[report.pool] = report.demand; }
+    void add(const conditions::LimitReport& report) { m_limits.push_back(report); }
     bool empty() const noexcept;
     /** Removes all reports. @return them as datagrams that fit into one network packet each. */
     std::vector<std::string> takeDatagrams(const EntryId& sender, UnixMillis startedAt);
@@ -99,6 +103,7 @@
     std::set<TargetId> m_unreachable;
     std::vector<roles::RoleReport> m_roles;
     std::map<PoolId, roles::Demand> m_demands;
+    std::vector<conditions::LimitReport> m_limits;
     uint64_t m_lastSequenceNumber = 0;
 };
 
--- a/libs/peers/src/Codec.cpp
+++ b/libs/peers/src/Codec.cpp
@@ -14,10 +14,13 @@
     /** Engine, start of its incarnation, whether it decodes, whether it is changing. */
     using RoleTuple = std::tuple<std::string, int64_t, bool, bool>;
     using DemandTuple = std::tuple<std::string, float, float>;
+    /** Target, start of its incarnation, whether it states a limit, requests a second, age of the
+     * statement and of the first one in milliseconds. */
+    using LimitTuple = std::tuple<std::string, int64_t, bool, double, int64_t, int64_t>;
     using UpdateTuple = std::tuple<std::string, int64_t, uint64_t, std::vector<LoadTuple>,
         std::vector<PartsTuple>, std::vector<std::string>, std::vector<CrashTuple>,
         std::vector<uint64_t>, std::vector<std::string>, std::vector<RoleTuple>,
-        std::vector<DemandTuple>>;
+        std::vector<DemandTuple>, std::vector<LimitTuple>>;
     /** Gateway, its address, engine, start of its incarnation, whether it should decode, planners.
      */
     using RoleRequestTuple
@@ -67,10 +70,15 @@
     for (const DemandReport& report : update.demands)
         demands.emplace_back(report.pool.text(), static_cast<float>(report.demand.decodeEngines),
             static_cast<float>(report.demand.prefillEngines));
-    return pack(
-        UpdateTuple(update.sender.text(), update.senderStartedAt.value(), update.sequenceNumber,
-            std::move(loads), std::move(parts), texts(update.replaced), std::move(crashes),
-            update.cleared, texts(update.unreachable), std::move(roleTuples), std::move(demands)));
+    std::vector<LimitTuple> limits;
+    for (const conditions::LimitReport& report : update.limits)
+        limits.emplace_back(report.target.text(), report.targetStartedAt.value(),
+            report.limit.has_value(), report.limit.value_or(0), report.age.count(),
+            report.ageOfFirst.count());
+    return pack(UpdateTuple(update.sender.text(), update.senderStartedAt.value(),
+        update.sequenceNumber, std::move(loads), std::move(parts), texts(update.replaced),
+        std::move(crashes), update.cleared, texts(update.unreachable), std::move(roleTuples),
+        std::move(demands), std::move(limits)));
 }
 
 Update decode(std::string_view datagram)
@@ -102,6 +110,14 @@
                 { TargetId(engine), UnixMillis(startedAt), roleOf(decodes), isChanging });
         for (const auto& [pool, decodeEngines, prefillEngines] : std::get<10>(tuple))
             update.demands.push_back({ PoolId(pool), { decodeEngines, prefillEngines } });
+        for (const auto& [target, startedAt, hasLimit, limit, age, ageOfFirst] :
+            std::get<11>(tuple)) {
+            conditions::LimitReport report { TargetId(target), UnixMillis(startedAt), std::nullopt,
+                Milliseconds(age), Milliseconds(ageOfFirst) };
+            if (hasLimit)
+                report.limit = limit;
+            update.limits.push_back(std::move(report));
+        }
         return update;
     } catch (const std::exception&) {
         // The exceptions of msgpack share no more specific base class.
--- a/libs/peers/src/Outbox.cpp
+++ b/libs/peers/src/Outbox.cpp
@@ -19,6 +19,7 @@
     constexpr size_t UnreachablePerDatagram = 4;
     constexpr size_t RolesPerDatagram = 4;
     constexpr size_t DemandsPerDatagram = 4;
+    constexpr size_t LimitsPerDatagram = 4;
 
     /** Removes up to @p maxCount reports from the front of a list. @return them. */
     template <typename Report>
@@ -43,7 +44,8 @@
 bool Outbox::empty() const noexcept
 {
     return m_loads.empty() && m_parts.empty() && m_replaced.empty() && m_crashes.empty()
-        && m_cleared.empty() && m_unreachable.empty() && m_roles.empty() && m_demands.empty();
+        && m_cleared.empty() && m_unreachable.empty() && m_roles.empty() && m_demands.empty()
+        && m_limits.empty();
 }
 
 std::vector<std::string> Outbox::takeDatagrams(const EntryId& sender, UnixMillis startedAt)
@@ -69,6 +71,7 @@
             update.demands.push_back({ m_demands.begin()->first, m_demands.begin()->second });
             m_demands.erase(m_demands.begin());
         }
+        update.limits = takeFront(m_limits, LimitsPerDatagram);
         datagrams.push_back(encode(update));
     }
     return datagrams;
--- a/libs/peers/tests/PeersTests.cpp
+++ b/libs/peers/tests/PeersTests.cpp
@@ -18,6 +18,11 @@
     for (uint64_t fingerprint = 1; fingerprint <= 70; ++fingerprint)
         outbox.add(CrashReport { fingerprint, { 7, 8, 9 } });
     outbox.addCleared(99);
+    outbox.add(conditions::LimitReport {
+        TargetId("i-3"), UnixMillis(7), 4.3, Milliseconds(20), Milliseconds(900) });
+    outbox.add(conditions::LimitReport {
+        TargetId("i-4"), UnixMillis(8), std::nullopt, Milliseconds(0), Milliseconds(0) });
+    std::vector<conditions::LimitReport> limits;
     constexpr size_t PacketBytes = 1400;
     size_t loads = 0;
     size_t parts = 0;
@@ -32,6 +37,7 @@
         replaced += update.replaced.size();
         crashes += update.crashes.size();
         cleared += update.cleared.size();
+        limits.insert(limits.end(), update.limits.begin(), update.limits.end());
         for (const CrashReport& report : update.crashes)
             cr_expect(report.crashes == std::vector<uint64_t>({ 7, 8, 9 }));
         for (const LoadReport& report : update.loads)
@@ -42,6 +48,11 @@
     cr_assert_eq(replaced, 1U);
     cr_assert_eq(crashes, 70U);
     cr_assert_eq(cleared, 1U);
+    cr_assert_eq(limits.size(), 2U);
+    cr_assert(limits[0].target == TargetId("i-3") && limits[0].targetStartedAt == UnixMillis(7));
+    cr_assert(limits[0].limit == 4.3 && limits[0].age == Milliseconds(20)
+        && limits[0].ageOfFirst == Milliseconds(900));
+    cr_assert(limits[1].target == TargetId("i-4") && !limits[1].limit.has_value());
     cr_assert(outbox.empty());
 }
 
--- a/libs/roles/src/RoleRequests.cpp
+++ b/libs/roles/src/RoleRequests.cpp
@@ -10,17 +10,6 @@
     constexpr size_t MaxPlanners = 5;
     /** Gateways repeat a request several times within this time while they want the change. */
     constexpr Milliseconds RequestLifetime { 900 };
-    /** Spreads similar texts over all values, which the plain hash of their text does not. */
-    uint64_t planningRank(const EntryId& gateway, const TargetId& engine)
-    {
-        constexpr uint64_t Multiplier = 0xff51afd7ed558ccdULL;
-        constexpr int HalfBits = 32;
-        uint64_t rank = stableHash(gateway.text() + "/" + engine.text());
-        rank ^= rank >> HalfBits;
-        rank *= Multiplier;
-        return rank ^ (rank >> HalfBits);
-    }
-
     /** Gateways learn the end of a change that they requested. */
     constexpr Milliseconds ReplyLifetime { 15000 };
 
@@ -31,7 +20,7 @@
     std::vector<std::pair<uint64_t, EntryId>> ranked;
     ranked.reserve(gateways.size());
     for (const EntryId& gateway : gateways)
-        ranked.emplace_back(planningRank(gateway, engine), gateway);
+        ranked.emplace_back(rendezvousRank(gateway.text(), engine.text()), gateway);
     std::sort(ranked.begin(), ranked.end());
     std::vector<EntryId> planners;
     for (size_t index = 0; index < std::min(ranked.size(), MaxPlanners); ++index)
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -282,6 +282,8 @@
     Milliseconds applyTime { 2000 };
     /** Within this time a leaving target must cease to get new work. */
     Milliseconds drainTime { 2000 };
+    /** From this time after a target first stated a request limit, the limit must be kept. */
+    Milliseconds limitNoticeTime { 3000 };
     RetryLimits retries;
     /** The whole system starts for the first time, so no engine has cached prompt parts yet. */
     bool isFirstStart = false;
--- a/libs/settings/src/GatewayAndSidecarSettings.cpp
+++ b/libs/settings/src/GatewayAndSidecarSettings.cpp
@@ -10,7 +10,7 @@
 
     constexpr double MsPerSecond = 1000;
 
-    constexpr std::array<KeyRule, 14> GatewayRules {
+    constexpr std::array<KeyRule, 15> GatewayRules {
         KeyRule { "", "id", ValueKind::Text, true },
         KeyRule { "", "zone", ValueKind::Text, true },
         KeyRule { "", "callers", ValueKind::Address, true },
@@ -23,6 +23,7 @@
         KeyRule { "", "retry_window_s", ValueKind::Real, true, 0.1, 3600 },
         KeyRule { "", "apply_time_ms", ValueKind::Integer, true, 100, 3600000 },
         KeyRule { "", "drain_time_ms", ValueKind::Integer, true, 100, 3600000 },
+        KeyRule { "", "limit_notice_ms", ValueKind::Integer, true, 0, 3600000 },
         KeyRule { "", "sidecar_port", ValueKind::Integer, true, 1, 65535 },
         KeyRule { "", "first_start", ValueKind::Flag, false },
     };
@@ -72,6 +73,7 @@
     gateway.stopGrace = readSeconds(reader, "stop_grace_s");
     gateway.applyTime = Milliseconds(reader.number<int64_t>("apply_time_ms", 0));
     gateway.drainTime = Milliseconds(reader.number<int64_t>("drain_time_ms", 0));
+    gateway.limitNoticeTime = Milliseconds(reader.number<int64_t>("limit_notice_ms", 0));
     gateway.retries.share = reader.real("retry_share", 0);
     gateway.retries.fixedPart = reader.real("retry_fixed_part", 0);
     gateway.retries.window = readSeconds(reader, "retry_window_s");
--- a/libs/settings/tests/GatewaySettingsTests.cpp
+++ b/libs/settings/tests/GatewaySettingsTests.cpp
@@ -7,11 +7,12 @@
 
 namespace {
 
-const std::string Gateway = "id = \"e\"\nzone = \"z\"\ncallers = \"10.0.0.1:1\"\n"
-                            "readiness = \"10.0.0.1:2\"\noperator = \"10.0.0.1:3\"\n"
-                            "store = \"10.0.0.2:4\"\nstop_grace_s = 8\nretry_share = 0.2\n"
-                            "retry_fixed_part = 58\nretry_window_s = 10\n"
-                            "sidecar_port = 7380\napply_time_ms = 2000\ndrain_time_ms = 3000\n";
+const std::string Gateway
+    = "id = \"e\"\nzone = \"z\"\ncallers = \"10.0.0.1:1\"\n"
+      "readiness = \"10.0.0.1:2\"\noperator = \"10.0.0.1:3\"\n"
+      "store = \"10.0.0.2:4\"\nstop_grace_s = 8\nretry_share = 0.2\n"
+      "retry_fixed_part = 58\nretry_window_s = 10\n"
+      "sidecar_port = 7380\napply_time_ms = 2000\ndrain_time_ms = 3000\nlimit_notice_ms = 4000\n";
 
 std::vector<Problem> problemsOf(const std::string& text)
 {
@@ -34,6 +35,7 @@
     cr_assert_eq(settings.sidecarPort, 7380);
     cr_assert(settings.applyTime == Milliseconds(2000));
     cr_assert(settings.drainTime == Milliseconds(3000));
+    cr_assert(settings.limitNoticeTime == Milliseconds(4000));
 }
 
 Test(gateway_settings, reports_missing_invalid_and_unknown_keys_together)
--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -68,7 +68,8 @@
         + quoted(own.text()) + "readiness = " + quoted(pickAddress().text()) + "operator = "
         + quoted(pickAddress().text()) + "store = " + quoted(place.storeLink->address().text())
         + "sidecar_port = " + std::to_string(m_sidecarPort)
-        + "\napply_time_ms = 2000\ndrain_time_ms = 2000\nstop_grace_s = 8\nretry_share = "
+        + "\napply_time_ms = 2000\ndrain_time_ms = 2000\nlimit_notice_ms = 3000\nstop_grace_s = "
+          "8\nretry_share = "
           "0.2\nretry_fixed_part = 58\nretry_window_s = 10\n";
     place.process = std::make_unique<SoakProcess>(name, m_options.programs + "/citronspoke-gateway",
         place.settings, m_options.folder, m_history);
