Roles: decode engines at their request limits are replaced

Change: an engine whose limit has left a prompt without a turn keeps its role and is planned for as if it were not there, until its limit ends; the last engine that prefills is not taken for it. Result: load_pattern/decode_engines_at_their_request_limits_are_replaced_while_the_limits_last: replaced within the time of a role change, two changes there and two back.

--- a/libs/roles/include/roles/Roles.h
+++ b/libs/roles/include/roles/Roles.h
@@ -67,6 +67,9 @@
     fleet::TargetRecord record;
     /** It no longer responds, although its record is still in the store. */
     bool isLost = false;
+    /** It takes fewer requests than it should: it keeps its role, and others are planned as if it
+     * were not there. */
+    bool isLimited = false;
 };
 
 /** A role that an engine should take. */
@@ -83,8 +86,8 @@
  * Chooses the engines that should decode; the others should prefill. All processes that know the
  * same engines choose the same ones. Engines that decode already come first, then the zone with
  * the fewest decode engines.
- * @param engines of one pool, in any order; leaving ones, lost ones and those without a role are
- *        ignored.
+ * @param engines of one pool, in any order; leaving, lost and limited ones and those without a
+ *        role are ignored.
  * @param count how many should decode.
  * @param passedOver engines that are not newly chosen.
  */
--- a/libs/roles/src/DecodeEngineChoice.cpp
+++ b/libs/roles/src/DecodeEngineChoice.cpp
@@ -74,7 +74,7 @@
     Records decoding;
     Records others;
     for (const PlannedEngine& engine : engines) {
-        if (!engine.record.role || engine.record.isLeaving || engine.isLost)
+        if (!engine.record.role || engine.record.isLeaving || engine.isLost || engine.isLimited)
             continue;
         if (*engine.record.role == EngineRole::Decode)
             decoding.push_back(&engine.record);
--- a/libs/roles/src/RolePlanner.cpp
+++ b/libs/roles/src/RolePlanner.cpp
@@ -85,9 +85,13 @@
     const size_t usable
         = static_cast<size_t>(std::count_if(engines.begin(), engines.end(), isUsable));
     const uint32_t held = heldDecodeEngines(splitRoles(usable, demand), now);
-    // The held number may stem from a time with more engines.
-    m_decodeEngines = usable < 2 ? static_cast<uint32_t>(usable)
-                                 : std::min(held, static_cast<uint32_t>(usable - 1));
+    const size_t limited = static_cast<size_t>(std::count_if(engines.begin(), engines.end(),
+        [](const PlannedEngine& engine) { return isUsable(engine) && engine.isLimited; }));
+    // The held number may stem from a time with more engines; one of those that are planned
+    // prefills.
+    const size_t most = usable - std::min(usable, limited + 1);
+    m_decodeEngines
+        = usable < 2 ? static_cast<uint32_t>(usable) : std::min(held, static_cast<uint32_t>(most));
 }
 
 bool RolePlanner::isDue(WantedChange& wanted, SteadyTime now)
@@ -112,7 +116,7 @@
     std::map<TargetId, WantedChange> wantedBefore = std::exchange(m_wantedChanges, {});
     std::vector<RoleChange> due;
     for (const PlannedEngine& engine : engines) {
-        if (!isUsable(engine))
+        if (!isUsable(engine) || engine.isLimited)
             continue;
         const fleet::TargetRecord& record = engine.record;
         passOverIfFailed(record, now);
--- a/libs/roles/tests/RolePlannerTests.cpp
+++ b/libs/roles/tests/RolePlannerTests.cpp
@@ -145,6 +145,34 @@
     cr_assert_eq(fleet.orders(), 0U);
 }
 
+Test(load_pattern, decode_engines_at_their_request_limits_are_replaced_while_the_limits_last)
+{
+    Fleet fleet(12, 2);
+    fleet.run(Milliseconds(10000));
+    for (const size_t index : { 0, 1 })
+        fleet[index].isLimited = true;
+    cr_assert_leq(fleet.runUntilDecoding(4).count(), RecoveryTarget.count());
+    fleet.run(Milliseconds(10000));
+    cr_assert_eq(fleet.decoding(), 4U, "the limited ones go on decoding");
+    cr_assert_eq(fleet.orders(), 2U);
+    for (const size_t index : { 0, 1 })
+        fleet[index].isLimited = false;
+    fleet.run(Milliseconds(20000));
+    cr_assert_eq(fleet.decoding(), 2U);
+    cr_assert_eq(fleet.orders(), 4U);
+}
+
+Test(roles, limited_decode_engines_are_not_replaced_by_the_last_engine_that_prefills)
+{
+    Fleet fleet(3, 2);
+    fleet.run(Milliseconds(10000));
+    const size_t before = fleet.orders();
+    for (const size_t index : { 0, 1 })
+        fleet[index].isLimited = true;
+    fleet.run(Milliseconds(10000));
+    cr_assert_eq(fleet.orders(), before);
+}
+
 Test(load_pattern, bursts_that_alternate_change_roles_once)
 {
     Fleet fleet(12, 2);
