Engines with request limits keep their roles; gateways agree on which limits bind

Cause: a limited prefill engine was made a decode engine, where its limit allowed even less, so that the next one was ordered; and each gateway judged by its own refusals which decode engines were short, so that planners disagreed and ordered engines there and back. Change: an engine that states a limit is not planned into another role; that a limit left requests unserved is part of what gateways report of it. Limits are split among two gateways more, so that small limits are not served by one gateway alone. Tests: load_pattern/engines_that_all_state_limits_keep_their_roles, stated_limits/that_leave_requests_unserved_are_known_to_all_gateways, limits/a_request_waits_for_a_healthy_target_rather_than_use_one_that_fails.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -166,10 +166,8 @@
     const dispatch::TargetState* before = m_context.directory.find(record.id);
     if (before && before->record.role != record.role)
         m_context.reportedRoles.noteRecordChanged(record.id);
-    if (m_context.directory.put(record)) {
+    if (m_context.directory.put(record))
         m_context.prefixCacheIndex.removeEngine(record.id);
-        m_context.enginesShortOfTurns.erase(record.id);
-    }
 }
 
 void Gateway::startCacheInventory()
@@ -187,7 +185,6 @@
         if (mayReturnUntil <= now) {
             m_context.prefixCacheIndex.removeEngine(id);
             m_context.pacer.remove(id);
-            m_context.enginesShortOfTurns.erase(id);
         }
         telemetry::logInfo("targets", "An entry is gone.",
             { { "target", id.text() }, { "may_return", mayReturnUntil > now ? "yes" : "no" } });
--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -43,8 +43,6 @@
     std::optional<conditions::StatedLimits::Limit> limit;
     if (state)
         limit = statedLimits.limit(state->record);
-    if (!limit)
-        enginesShortOfTurns.erase(target);
     telemetry::logInfo("limits", "A target's request limit changed.",
         { { "target", target.text() },
             { "per_s", limit ? std::to_string(limit->requestsPerSecond) : "none" },
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -30,8 +30,6 @@
     /** The request limits that targets state, and this gateway's part of them. */
     conditions::StatedLimits statedLimits;
     conditions::RequestPacer pacer;
-    /** Decode engines that left a request without a turn; until their limits end. */
-    std::set<TargetId> enginesShortOfTurns;
     dispatch::RetryBudget retryBudget;
     /** Requests that may crash the targets that run them. */
     CrashQuarantine crashQuarantine;
--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -108,8 +108,11 @@
     bool isTakenCareOf = false;
     if (isPrompt)
         isTakenCareOf = m_prefilledPrompt ? sendDecode() : sendPrefill();
-    if (!isTakenCareOf && !m_prefilledPrompt)
+    if (!isTakenCareOf && !m_prefilledPrompt) {
+        if (!m_turn)
+            m_turn = std::exchange(m_decodeTurn, std::nullopt);
         isTakenCareOf = sendWhole();
+    }
     if (isTakenCareOf)
         return;
     if (m_ranOn.empty())
@@ -157,7 +160,7 @@
         cachingEngines, *m_callerInfo.prompt, goal, m_context.prefixCacheIndex,
         m_context.prefillSpeeds[m_pool->id], m_excludedTargets, steadyNow());
     if (!placement.engine)
-        return awaitTurn(states);
+        return !mayRunWhole() && awaitTurn(states);
     if (m_attempts == 0)
         m_context.demandMeters[m_pool->id].notePrompt(
             m_context.prefillSpeeds[m_pool->id].estimate(placement.tokensToPrefill), steadyNow());
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -120,6 +120,8 @@
      */
     bool bookDecodeTurn(const TargetStates& decodeEngines);
     bool isInTime(const Turn& turn) const;
+    /** @return whether a decode engine can also prefill the prompt in time. */
+    bool mayRunWhole() const;
     void refuseForLimits(const TargetStates& states, const std::optional<Turn>& turn);
     void cancelTurn(std::optional<Turn>& turn);
 
--- a/apps/gateway/RequestHandlerTurns.cpp
+++ b/apps/gateway/RequestHandlerTurns.cpp
@@ -1,5 +1,6 @@
 // Turns at targets that state a request limit.
 #include "Durations.h"
+#include "PeerGroup.h"
 #include "RequestHandler.h"
 #include "Statuses.h"
 #include "telemetry/Telemetry.h"
@@ -13,8 +14,11 @@
     /** Longest wait for a turn of a request of the most urgent priority. Less urgent ones wait
      * less, so that the turns that are still free go to more urgent ones. */
     constexpr Milliseconds LongestTurnWait { 300 };
-    /** A wait of more than this fraction (1/n) of the time until the objective makes it late. */
+    /** A request that waits, or is slowed down, for more than this fraction (1/n) of the time until
+     * its objective is probably late. */
     constexpr int TurnWaitDivisor = 2;
+    /** A decode engine prefills a prompt this many times slower than a prefill engine. */
+    constexpr int WholeRunSlowdown = 2;
     /** Callers accept a wait of at most this fraction (1/n) of their remaining time. */
     constexpr int RetryAfterDivisor = 3;
     /** Callers that are refused come back spread over this time: no more are served at once. */
@@ -36,12 +40,22 @@
         else if (m_context.nextTurn(state->record, now) == now)
             ready.push_back(state);
     }
-    if (m_turn && (!booked || !ready.empty())) {
+    const bool isAnyHealthy = std::any_of(ready.begin(), ready.end(),
+        [now](const dispatch::TargetState* state) { return !state->isAvoided(now); });
+    if (m_turn && (!booked || isAnyHealthy))
         cancelTurn(m_turn);
-    } else if (m_turn && m_turn->at <= now) {
-        m_turn.reset();
-        m_isTurnBooked = true;
-        ready.push_back(booked);
+    if (m_turn) {
+        ready.clear();
+        if (m_turn->at <= now) {
+            m_turn.reset();
+            m_isTurnBooked = true;
+            ready.push_back(booked);
+        }
+    } else if (!isAnyHealthy) {
+        // A short wait for a healthy target is better than one that has just failed.
+        const std::optional<Turn> turn = earliestTurn(states);
+        if (turn && turn->at > now && isInTime(*turn))
+            ready.clear();
     }
     return ready;
 }
@@ -50,20 +64,29 @@
 {
     const SteadyTime now = steadyNow();
     std::optional<Turn> earliest;
+    std::pair<bool, SteadyTime> best;
     for (const dispatch::TargetState* state : states) {
         if (m_excludedTargets.contains(state->record.id))
             continue;
         const std::optional<SteadyTime> turn = m_context.nextTurn(state->record, now);
-        if (turn && (!earliest || *turn < earliest->at))
-            earliest = Turn { state->record.id, *turn };
+        if (!turn)
+            continue;
+        const std::pair<bool, SteadyTime> rank(state->isAvoided(now), *turn);
+        if (earliest && rank >= best)
+            continue;
+        best = rank;
+        earliest = Turn { state->record.id, *turn };
     }
     return earliest;
 }
 
 bool RequestHandler::isInTime(const Turn& turn) const
 {
+    // The caller of a stream that is resumed waits for the next event.
+    const Milliseconds left
+        = m_hasBegunResponse ? m_route->eventGapObjective : m_route->latencyObjective - age();
     const Milliseconds longest
-        = std::min(LongestTurnWait, (m_route->latencyObjective - age()) / TurnWaitDivisor);
+        = std::clamp(left / TurnWaitDivisor, Milliseconds(0), LongestTurnWait);
     return turn.at - steadyNow() <= longest / (1 + m_route->priority);
 }
 
@@ -115,16 +138,22 @@
     return true;
 }
 
+bool RequestHandler::mayRunWhole() const
+{
+    const Milliseconds prefillTime
+        = m_context.prefillSpeeds[m_pool->id].estimate(m_callerInfo.prompt->tokens);
+    return prefillTime * WholeRunSlowdown <= (m_route->latencyObjective - age()) / TurnWaitDivisor;
+}
+
 void RequestHandler::refuseForLimits(const TargetStates& states, const std::optional<Turn>& turn)
 {
-    const bool needsDecode = m_callerInfo.prompt && m_pool->engine;
-    for (const dispatch::TargetState* state : states) {
-        if (needsDecode && m_context.statedLimits.limit(state->record)
-            && m_context.reportedRoles.withReportedRole(state->record, steadyNow()).role
-                == EngineRole::Decode)
-            m_context.enginesShortOfTurns.insert(state->record.id);
-    }
-    constexpr std::string_view Cause = "all targets are at their request limits";
+    bool isNew = false;
+    for (const dispatch::TargetState* state : states)
+        isNew = m_context.statedLimits.noteShortage(state->record) || isNew;
+    if (isNew)
+        m_context.peers->noteStatedLimits();
+    constexpr std::string_view Cause
+        = "the targets that could serve it are at their request limits";
     telemetry::count("refused_for_limits");
     if (!m_ranOn.empty()) {
         fail(Cause);
--- a/apps/gateway/RoleCoordinator.cpp
+++ b/apps/gateway/RoleCoordinator.cpp
@@ -83,10 +83,8 @@
     RoleCounts counts;
     for (const dispatch::TargetState* state : m_context.directory.allInPool(traits.id, now)) {
         const bool isLost = state->isSuspectedLost(now) || state->excludedUntil > now;
-        const bool isLimited = m_context.enginesShortOfTurns.contains(state->record.id)
-            && m_context.statedLimits.limit(state->record);
-        engines.push_back(
-            { m_context.reportedRoles.withReportedRole(state->record, now), isLost, isLimited });
+        engines.push_back({ m_context.reportedRoles.withReportedRole(state->record, now), isLost,
+            m_context.statedLimits.limit(state->record) });
         counts.add(*state, isLost);
     }
     const roles::Demand demand = m_peers.totalDemand(traits.id, now);
--- a/apps/gateway/tests/LimitTests.cpp
+++ b/apps/gateway/tests/LimitTests.cpp
@@ -176,3 +176,28 @@
     cr_assert_eq(fixture.seenBy("prefill"), served);
     cr_assert_eq(first.arrivals() + second.arrivals(), served);
 }
+
+// Guards against requests that go to a failing target because the healthy one takes the next only
+// some milliseconds later.
+Test(limits, a_request_waits_for_a_healthy_target_rather_than_use_one_that_fails)
+{
+    LimitedTarget limited;
+    GatewayFixture fixture;
+    fixture.addRoute("/a/", { "non_idempotent" });
+    fixture.declare(1);
+    fixture.addTarget("limited", "app", limited.script());
+    fixture.addTarget("failing", "app", refuseNotExecuted);
+    fixture.start();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
+    // The failing target refuses until it is avoided for seconds.
+    GatewayFixture::waitUntil([&] {
+        sendRequest(fixture, requestText("POST", "/a/x", "a1"));
+        return fixture.seenBy("failing") >= 5;
+    });
+    const size_t refusals = fixture.seenBy("failing");
+    // A turn comes each 334 ms, and a request with an objective of 500 ms and the second priority
+    // may wait for 125 ms.
+    std::this_thread::sleep_for(Milliseconds(250));
+    cr_assert_eq(sendRequest(fixture, requestText("POST", "/a/x", "a2")).status, 200U);
+    cr_assert_eq(fixture.seenBy("failing"), refusals);
+}
--- a/libs/conditions/include/conditions/Conditions.h
+++ b/libs/conditions/include/conditions/Conditions.h
@@ -25,6 +25,8 @@
     Milliseconds age { 0 };
     /** Time since the target first stated a limit; 0 without a limit. */
     Milliseconds ageOfFirst { 0 };
+    /** A gateway had to refuse requests because of the limit. */
+    bool isShort = false;
 };
 
 /**
@@ -48,7 +50,15 @@
      * @return whether the limit of the target has begun, changed or ended.
      */
     bool merge(const LimitReport& report, SteadyTime now);
-    /** @return what own responses have stated since the last call, for the other gateways. */
+    /**
+     * A request was refused, because this target and the others take no more in time.
+     * @return whether that is new for the limit of the target; false without a limit.
+     */
+    bool noteShortage(const fleet::TargetRecord& target);
+    /**
+     * @return what is new since the last call, for the other gateways, and now and then again what
+     *         own responses have stated last.
+     */
     std::vector<LimitReport> takeReports(SteadyTime now);
     /** Drops limits that no gateway has seen stated for a long time. @return their targets. */
     std::vector<TargetId> expire(SteadyTime now);
@@ -57,6 +67,8 @@
     struct Limit {
         RequestsPerSecond requestsPerSecond = 0;
         SteadyTime firstStatedAt;
+        /** A gateway has refused requests because of it. */
+        bool isShort = false;
     };
     /** @return none when this incarnation of the target states no limit. */
     std::optional<Limit> limit(const fleet::TargetRecord& target) const;
@@ -67,7 +79,10 @@
         /** None once the limit has ended; kept to reject reports that are older. */
         std::optional<Limit> limit;
         SteadyTime statedAt;
-        bool isReported = false;
+        /** In a response to this gateway; the others report theirs. */
+        bool isOwn = true;
+        /** None when the other gateways do not know the statement yet. */
+        std::optional<SteadyTime> reportedAt;
     };
     std::map<TargetId, Statement> m_statements;
 };
--- a/libs/conditions/src/RequestPacer.cpp
+++ b/libs/conditions/src/RequestPacer.cpp
@@ -7,9 +7,10 @@
 
 namespace {
 
-    /** A limit is split into shares of at least this rate. Each gateway may send one request at any
-     * moment, so that many small shares would add up to a burst. */
+    /** A limit is split into shares of this rate or more, and some more shares. Each gateway may
+     * send one request at any moment, so that many small shares would add up to a burst. */
     constexpr RequestsPerSecond SmallestShare = 0.5;
+    constexpr double ExtraShares = 2;
     /** A lower limit, or 0, still gets a request now and then, which shows when the limit ends. */
     constexpr RequestsPerSecond LowestRate = 0.25;
     /** Requests of one window beyond an even pace, as a factor; what was sent before the limit was
@@ -56,13 +57,13 @@
     if (!state.position)
         state.position = positionOf(target);
     const double rate = std::max(limit->requestsPerSecond, LowestRate);
-    const size_t shares = std::clamp<size_t>(
-        static_cast<size_t>(rate / SmallestShare), 1, m_otherGateways.size() + 1);
-    if (*state.position >= shares)
+    const double gateways = static_cast<double>(m_otherGateways.size() + 1);
+    const double shares = std::min(std::floor(rate / SmallestShare) + ExtraShares, gateways);
+    if (static_cast<double>(*state.position) >= shares)
         return std::nullopt;
     if (state.turns.empty())
         return now;
-    const Seconds interval(static_cast<double>(shares) / rate);
+    const Seconds interval(shares / rate);
     const SteadyTime paced
         = *state.turns.rbegin() + std::chrono::duration_cast<SteadyTime::duration>(interval);
     // Requests that leave every window before the limit has to be kept do not count.
@@ -70,10 +71,10 @@
         = std::max(now - Window, limit->firstStatedAt + m_noticeTime - Window);
     const auto counted = state.turns.upper_bound(countedAfter);
     const size_t inWindow = static_cast<size_t>(std::distance(counted, state.turns.end()));
-    const size_t most = static_cast<size_t>(std::ceil(WindowSlack * (Seconds(Window) / interval)));
-    const SteadyTime free = inWindow < most
-        ? now
-        : *std::prev(state.turns.end(), static_cast<ptrdiff_t>(most)) + Window;
+    const double most = std::ceil(WindowSlack * (Seconds(Window) / interval));
+    SteadyTime free = now;
+    if (static_cast<double>(inWindow) >= most)
+        free = *std::prev(state.turns.end(), static_cast<ptrdiff_t>(most)) + Window;
     return std::max({ now, paced, free });
 }
 
--- a/libs/conditions/tests/RequestPacerTests.cpp
+++ b/libs/conditions/tests/RequestPacerTests.cpp
@@ -214,6 +214,16 @@
     cr_assert(pacer.nextTurn(target, limit, at(10)) == at(4000));
 }
 
+Test(request_pacer, a_very_high_limit_does_not_delay_requests)
+{
+    RequestPacer pacer(EntryId("edge-1"), Milliseconds(3000));
+    const TargetId target("engine");
+    const StatedLimits::Limit limit { 1e300, at(0) };
+    for (int request = 0; request < 100; ++request)
+        pacer.book(target, at(100));
+    cr_assert(pacer.nextTurn(target, limit, at(100)) == at(100));
+}
+
 Test(request_pacer, turns_are_booked_one_after_another_and_can_be_cancelled)
 {
     RequestPacer pacer(EntryId("edge-1"), Milliseconds(3000));
@@ -250,15 +260,35 @@
     first.noteResponse(engine(), 4.5, at(0), at(100));
     const std::vector<LimitReport> begun = first.takeReports(at(150));
     cr_assert(first.takeReports(at(160)).empty());
+    cr_assert_eq(first.takeReports(at(2200)).size(), 1U, "the first report may be lost");
     cr_assert(second.merge(begun.at(0), at(160)));
     cr_assert(second.limit(engine())->requestsPerSecond == 4.5);
     cr_assert(second.noteResponse(engine(), std::nullopt, at(200), at(300)));
     const std::vector<LimitReport> ended = second.takeReports(at(300));
+    cr_assert_eq(ended.size(), 1U);
     cr_assert_not(second.merge(begun.at(0), at(310)), "older than the end of the limit");
     cr_assert(first.merge(ended.at(0), at(310)));
     cr_assert_not(first.limit(engine()).has_value());
 }
 
+Test(stated_limits, that_leave_requests_unserved_are_known_to_all_gateways)
+{
+    StatedLimits first;
+    StatedLimits second;
+    first.noteResponse(engine(), 4.5, at(0), at(100));
+    second.noteResponse(engine(), 4.5, at(100), at(200));
+    second.takeReports(at(200));
+    first.noteShortage(engine());
+    // The report is older than what the second gateway knows.
+    second.merge(first.takeReports(at(210)).at(0), at(210));
+    cr_assert(second.limit(engine())->isShort);
+    second.noteResponse(engine(), 4.4, at(210), at(300));
+    cr_assert(second.limit(engine())->isShort);
+    second.noteResponse(engine(), std::nullopt, at(310), at(400));
+    second.noteResponse(engine(), 4.4, at(410), at(500));
+    cr_assert_not(second.limit(engine())->isShort, "a new limit");
+}
+
 Test(stated_limits, that_nobody_confirms_expire)
 {
     StatedLimits limits;
--- a/libs/peers/src/Codec.cpp
+++ b/libs/peers/src/Codec.cpp
@@ -15,8 +15,8 @@
     using RoleTuple = std::tuple<std::string, int64_t, bool, bool>;
     using DemandTuple = std::tuple<std::string, float, float>;
     /** Target, start of its incarnation, whether it states a limit, requests a second, age of the
-     * statement and of the first one in milliseconds. */
-    using LimitTuple = std::tuple<std::string, int64_t, bool, double, int64_t, int64_t>;
+     * statement and of the first one in milliseconds, whether requests were refused. */
+    using LimitTuple = std::tuple<std::string, int64_t, bool, double, int64_t, int64_t, bool>;
     using UpdateTuple = std::tuple<std::string, int64_t, uint64_t, std::vector<LoadTuple>,
         std::vector<PartsTuple>, std::vector<std::string>, std::vector<CrashTuple>,
         std::vector<uint64_t>, std::vector<std::string>, std::vector<RoleTuple>,
@@ -74,7 +74,7 @@
     for (const conditions::LimitReport& report : update.limits)
         limits.emplace_back(report.target.text(), report.targetStartedAt.value(),
             report.limit.has_value(), report.limit.value_or(0), report.age.count(),
-            report.ageOfFirst.count());
+            report.ageOfFirst.count(), report.isShort);
     return pack(UpdateTuple(update.sender.text(), update.senderStartedAt.value(),
         update.sequenceNumber, std::move(loads), std::move(parts), texts(update.replaced),
         std::move(crashes), update.cleared, texts(update.unreachable), std::move(roleTuples),
@@ -110,10 +110,10 @@
                 { TargetId(engine), UnixMillis(startedAt), roleOf(decodes), isChanging });
         for (const auto& [pool, decodeEngines, prefillEngines] : std::get<10>(tuple))
             update.demands.push_back({ PoolId(pool), { decodeEngines, prefillEngines } });
-        for (const auto& [target, startedAt, hasLimit, limit, age, ageOfFirst] :
+        for (const auto& [target, startedAt, hasLimit, limit, age, ageOfFirst, isShort] :
             std::get<11>(tuple)) {
             conditions::LimitReport report { TargetId(target), UnixMillis(startedAt), std::nullopt,
-                Milliseconds(age), Milliseconds(ageOfFirst) };
+                Milliseconds(age), Milliseconds(ageOfFirst), isShort };
             if (hasLimit)
                 report.limit = limit;
             update.limits.push_back(std::move(report));
--- a/libs/peers/tests/PeersTests.cpp
+++ b/libs/peers/tests/PeersTests.cpp
@@ -19,9 +19,9 @@
         outbox.add(CrashReport { fingerprint, { 7, 8, 9 } });
     outbox.addCleared(99);
     outbox.add(conditions::LimitReport {
-        TargetId("i-3"), UnixMillis(7), 4.3, Milliseconds(20), Milliseconds(900) });
+        TargetId("i-3"), UnixMillis(7), 4.3, Milliseconds(20), Milliseconds(900), true });
     outbox.add(conditions::LimitReport {
-        TargetId("i-4"), UnixMillis(8), std::nullopt, Milliseconds(0), Milliseconds(0) });
+        TargetId("i-4"), UnixMillis(8), std::nullopt, Milliseconds(0), Milliseconds(0), false });
     std::vector<conditions::LimitReport> limits;
     constexpr size_t PacketBytes = 1400;
     size_t loads = 0;
@@ -51,7 +51,7 @@
     cr_assert_eq(limits.size(), 2U);
     cr_assert(limits[0].target == TargetId("i-3") && limits[0].targetStartedAt == UnixMillis(7));
     cr_assert(limits[0].limit == 4.3 && limits[0].age == Milliseconds(20)
-        && limits[0].ageOfFirst == Milliseconds(900));
+        && limits[0].ageOfFirst == Milliseconds(900) && limits[0].isShort);
     cr_assert(limits[1].target == TargetId("i-4") && !limits[1].limit.has_value());
     cr_assert(outbox.empty());
 }
--- a/libs/roles/include/roles/Roles.h
+++ b/libs/roles/include/roles/Roles.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "conditions/Conditions.h"
 #include "fleet/Fleet.h"
 
 #include <deque>
@@ -67,9 +68,18 @@
     fleet::TargetRecord record;
     /** It no longer responds, although its record is still in the store. */
     bool isLost = false;
-    /** It takes fewer requests than it should: it keeps its role, and others are planned as if it
-     * were not there. */
-    bool isLimited = false;
+    /** The request limit that it states, if any. */
+    std::optional<conditions::StatedLimits::Limit> limit;
+
+    /**
+     * @return whether it keeps its role and others are planned as if it were not there: a limited
+     *         engine is no better in another role, and a decode engine whose limit has left
+     *         requests unserved is no full one.
+     */
+    bool isHeldByLimit() const
+    {
+        return limit && (record.role != EngineRole::Decode || limit->isShort);
+    }
 };
 
 /** A role that an engine should take. */
@@ -86,8 +96,8 @@
  * Chooses the engines that should decode; the others should prefill. All processes that know the
  * same engines choose the same ones. Engines that decode already come first, then the zone with
  * the fewest decode engines.
- * @param engines of one pool, in any order; leaving, lost and limited ones and those without a
- *        role are ignored.
+ * @param engines of one pool, in any order; leaving and lost ones, those without a role
+ *        and those held by their limits are ignored.
  * @param count how many should decode.
  * @param passedOver engines that are not newly chosen.
  */
--- a/libs/roles/src/DecodeEngineChoice.cpp
+++ b/libs/roles/src/DecodeEngineChoice.cpp
@@ -74,7 +74,8 @@
     Records decoding;
     Records others;
     for (const PlannedEngine& engine : engines) {
-        if (!engine.record.role || engine.record.isLeaving || engine.isLost || engine.isLimited)
+        if (!engine.record.role || engine.record.isLeaving || engine.isLost
+            || engine.isHeldByLimit())
             continue;
         if (*engine.record.role == EngineRole::Decode)
             decoding.push_back(&engine.record);
--- a/libs/roles/src/RolePlanner.cpp
+++ b/libs/roles/src/RolePlanner.cpp
@@ -85,11 +85,11 @@
     const size_t usable
         = static_cast<size_t>(std::count_if(engines.begin(), engines.end(), isUsable));
     const uint32_t held = heldDecodeEngines(splitRoles(usable, demand), now);
-    const size_t limited = static_cast<size_t>(std::count_if(engines.begin(), engines.end(),
-        [](const PlannedEngine& engine) { return isUsable(engine) && engine.isLimited; }));
+    const size_t heldByLimits = static_cast<size_t>(std::count_if(engines.begin(), engines.end(),
+        [](const PlannedEngine& engine) { return isUsable(engine) && engine.isHeldByLimit(); }));
     // The held number may stem from a time with more engines; one of those that are planned
     // prefills.
-    const size_t most = usable - std::min(usable, limited + 1);
+    const size_t most = usable - std::min(usable, heldByLimits + 1);
     m_decodeEngines
         = usable < 2 ? static_cast<uint32_t>(usable) : std::min(held, static_cast<uint32_t>(most));
 }
@@ -116,7 +116,7 @@
     std::map<TargetId, WantedChange> wantedBefore = std::exchange(m_wantedChanges, {});
     std::vector<RoleChange> due;
     for (const PlannedEngine& engine : engines) {
-        if (!isUsable(engine) || engine.isLimited)
+        if (!isUsable(engine) || engine.isHeldByLimit())
             continue;
         const fleet::TargetRecord& record = engine.record;
         passOverIfFailed(record, now);
--- a/libs/roles/tests/RolePlannerTests.cpp
+++ b/libs/roles/tests/RolePlannerTests.cpp
@@ -14,6 +14,9 @@
 /** The users' engines take three seconds for a change; noticing and ordering must cost little. */
 constexpr Milliseconds RecoveryTarget = SwitchTime + Milliseconds(1000);
 
+/** A limit that has left requests unserved. */
+const conditions::StatedLimits::Limit ShortLimit { 4.4, {}, true };
+
 /** Engines whose sidecars carry out the planner's changes, on a simulated clock. */
 class Fleet {
 public:
@@ -150,25 +153,43 @@
     Fleet fleet(12, 2);
     fleet.run(Milliseconds(10000));
     for (const size_t index : { 0, 1 })
-        fleet[index].isLimited = true;
+        fleet[index].limit = ShortLimit;
     cr_assert_leq(fleet.runUntilDecoding(4).count(), RecoveryTarget.count());
     fleet.run(Milliseconds(10000));
     cr_assert_eq(fleet.decoding(), 4U, "the limited ones go on decoding");
     cr_assert_eq(fleet.orders(), 2U);
     for (const size_t index : { 0, 1 })
-        fleet[index].isLimited = false;
+        fleet[index].limit.reset();
     fleet.run(Milliseconds(20000));
     cr_assert_eq(fleet.decoding(), 2U);
     cr_assert_eq(fleet.orders(), 4U);
 }
 
+// Guards against a pool whose engines all state limits and swap their roles in turn: each change
+// takes an engine out of service, and none gains anything.
+Test(load_pattern, engines_that_all_state_limits_keep_their_roles)
+{
+    Fleet fleet(12, 2);
+    fleet.run(Milliseconds(10000));
+    const size_t before = fleet.orders();
+    for (size_t index = 0; index < 12; ++index)
+        fleet[index].limit = ShortLimit;
+    fleet.run(Milliseconds(20000));
+    cr_assert_eq(fleet.orders(), before);
+    // Those without a limit replace the decode engines; limited ones do not.
+    for (const size_t index : { 4, 7, 9 })
+        fleet[index].limit.reset();
+    fleet.run(Milliseconds(20000));
+    cr_assert_eq(fleet.orders(), before + 2);
+}
+
 Test(roles, limited_decode_engines_are_not_replaced_by_the_last_engine_that_prefills)
 {
     Fleet fleet(3, 2);
     fleet.run(Milliseconds(10000));
     const size_t before = fleet.orders();
     for (const size_t index : { 0, 1 })
-        fleet[index].isLimited = true;
+        fleet[index].limit = ShortLimit;
     fleet.run(Milliseconds(10000));
     cr_assert_eq(fleet.orders(), before);
 }
