Fault soak: targets that state a request limit

Cause: no fault of the soak made the gateways keep a limit while processes stop, freeze and lose their links. Change: a target fault that states a limit between 0 and 4.75 requests a second in every response; the promises checked are the same.

--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -364,7 +364,7 @@
     constexpr double FaultyShare = 0.4;
     TargetFaults faults;
     std::string name;
-    switch (randomIndex(random, 6)) {
+    switch (randomIndex(random, 7)) {
     case 0:
         faults.failureShare = FaultyShare;
         name = "fails";
@@ -381,6 +381,10 @@
         faults.hangs = true;
         name = "hangs";
         break;
+    case 4:
+        faults.requestLimit = static_cast<double>(randomIndex(random, 20)) / 4;
+        name = "states a limit of " + std::to_string(*faults.requestLimit) + " requests a second";
+        break;
     default: {
         Fault fault = crashFault(place, randomIndex(random, 2) == 0);
         fault.duration = duration;
--- a/tests/soak/SoakTarget.cpp
+++ b/tests/soak/SoakTarget.cpp
@@ -17,24 +17,11 @@
         return request.field("X-Attempt-Id");
     }
 
-    http1::Headers responseHeaders(const fakes::FakeRequest& request)
-    {
-        http1::Headers headers;
-        headers.add("X-Attempt-Id", attemptOf(request));
-        return headers;
-    }
-
-    http1::Headers stampedHeaders(const fakes::FakeRequest& request)
-    {
-        http1::Headers headers = responseHeaders(request);
-        headers.add("X-Server-Stamp", "stamp");
-        return headers;
-    }
-
     void refuse(
         const fakes::FakeRequest& request, fakes::FakeConnection& connection, uint32_t status)
     {
-        http1::Headers headers = responseHeaders(request);
+        http1::Headers headers;
+        headers.add("X-Attempt-Id", attemptOf(request));
         headers.add("X-Not-Executed", "1");
         connection.answer(status, headers, "");
     }
@@ -128,6 +115,23 @@
     publish();
 }
 
+http1::Headers SoakTarget::responseHeaders(const fakes::FakeRequest& request) const
+{
+    http1::Headers headers;
+    headers.add("X-Attempt-Id", attemptOf(request));
+    std::lock_guard lock(m_mutex);
+    if (m_faults.requestLimit)
+        headers.add("Server-Limit", std::to_string(*m_faults.requestLimit));
+    return headers;
+}
+
+http1::Headers SoakTarget::stampedHeaders(const fakes::FakeRequest& request) const
+{
+    http1::Headers headers = responseHeaders(request);
+    headers.add("X-Server-Stamp", "stamp");
+    return headers;
+}
+
 bool SoakTarget::drawWithProbability(double share)
 {
     std::lock_guard lock(m_mutex);
--- a/tests/soak/SoakTarget.h
+++ b/tests/soak/SoakTarget.h
@@ -24,6 +24,8 @@
     double garbledShare = 0;
     /** Never responds to any request. */
     bool hangs = false;
+    /** States in each response that it takes so many requests a second. */
+    std::optional<double> requestLimit;
 };
 
 /** Maps the KV cache handles of all engines to their attempts. Any thread may call. */
@@ -78,6 +80,8 @@
 
 private:
     void handle(const fakes::FakeRequest& request, fakes::FakeConnection& connection);
+    http1::Headers responseHeaders(const fakes::FakeRequest& request) const;
+    http1::Headers stampedHeaders(const fakes::FakeRequest& request) const;
     bool isRefused(const fakes::FakeRequest& request, fakes::FakeConnection& connection);
     void run(const fakes::FakeRequest& request, fakes::FakeConnection& connection);
     void runApplication(const fakes::FakeRequest& request, fakes::FakeConnection& connection);
