--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -182,10 +182,8 @@
         const TargetId id(removed->key.substr(adapter::TargetPrefix.size()));
         const SteadyTime now = steadyNow();
         m_context.directory.remove(id, mayReturnUntil, now);
-        if (mayReturnUntil <= now) {
+        if (mayReturnUntil <= now)
             m_context.prefixCacheIndex.removeEngine(id);
-            m_context.pacer.remove(id);
-        }
         telemetry::logInfo("targets", "An entry is gone.",
             { { "target", id.text() }, { "may_return", mayReturnUntil > now ? "yes" : "no" } });
         return;
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -219,6 +219,7 @@
     noteStatedLimits();
     for (const TargetId& target : m_context.statedLimits.expire(steadyNow()))
         m_context.noteLimitChanged(target, "expiry");
+    m_context.pacer.expire(steadyNow());
     for (const auto& [pool, meter] : m_context.demandMeters) {
         m_outbox.add(peers::DemandReport { pool, meter.demand(steadyNow()) });
         scheduleSend();
--- a/libs/conditions/include/conditions/Conditions.h
+++ b/libs/conditions/include/conditions/Conditions.h
@@ -116,8 +116,8 @@
     void book(const TargetId& target, SteadyTime turn);
     /** A booked request is not sent. */
     void cancel(const TargetId& target, SteadyTime turn);
-    /** The target is gone. */
-    void remove(const TargetId& target) { m_targets.erase(target); }
+    /** Drops what no longer delays a request. */
+    void expire(SteadyTime now);
 
 private:
     struct Target {
--- a/libs/conditions/src/RequestPacer.cpp
+++ b/libs/conditions/src/RequestPacer.cpp
@@ -86,6 +86,16 @@
     turns.erase(turns.begin(), turns.lower_bound(turn - 2 * Window));
 }
 
+void RequestPacer::expire(SteadyTime now)
+{
+    // Two shares of the lowest rate are the longest pause between two turns.
+    static_assert(Seconds(2 * Window).count() >= ExtraShares / LowestRate);
+    std::erase_if(m_targets, [now](const auto& item) {
+        const std::multiset<SteadyTime>& turns = item.second.turns;
+        return turns.empty() || now - *turns.rbegin() > 2 * Window;
+    });
+}
+
 void RequestPacer::cancel(const TargetId& target, SteadyTime turn)
 {
     std::multiset<SteadyTime>& turns = m_targets[target].turns;
--- a/libs/conditions/tests/RequestPacerTests.cpp
+++ b/libs/conditions/tests/RequestPacerTests.cpp
@@ -214,6 +214,21 @@
     cr_assert(pacer.nextTurn(target, limit, at(10)) == at(4000));
 }
 
+Test(request_pacer, expiry_changes_no_turn)
+{
+    for (const double rate : { 0.0, 0.25, 0.5, 4.4 }) {
+        const StatedLimits::Limit limit { rate, at(0) };
+        const TargetId target("engine");
+        for (int now = 0; now < 12000; now += 100) {
+            RequestPacer pacer(EntryId("edge-1"), Milliseconds(3000));
+            pacer.book(target, at(0));
+            const std::optional<SteadyTime> turn = pacer.nextTurn(target, limit, at(now));
+            pacer.expire(at(now));
+            cr_assert(pacer.nextTurn(target, limit, at(now)) == turn);
+        }
+    }
+}
+
 Test(request_pacer, a_very_high_limit_does_not_delay_requests)
 {
     RequestPacer pacer(EntryId("edge-1"), Milliseconds(3000));
