Request limits: a share does not grow while announcements are lost

Cause: the pacer took the announced gateways as they were at the moment, unlike the retry budget. Change: a gateway that is no longer announced keeps its share for 15 s. Only signed successes and prefilled prompts show that a target has ended its limit: a garbled response is no statement. Evidence: load_pattern/a_share_does_not_grow_while_announcements_are_lost fails when lost announcements count at once.

--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -140,7 +140,7 @@
 
 void PeerGroup::updateGateways()
 {
-    m_context.pacer.updateGateways(gateways());
+    m_context.pacer.updateGateways(gateways(), steadyNow());
     if (m_peers.size() != m_loggedGatewayCounts.first)
         updateGatewayCount();
 }
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -70,8 +70,10 @@
             { { "id", m_callerInfo.attempt.text() }, { "target", target.id.text() } });
         return;
     }
-    // A failure may be made by something in between that knows of no limit.
-    if (!info.requestLimit && !isSuccess(m_attempt->head->status))
+    // Failures and garbled responses do not show that the target has ended its limit.
+    const bool isTrusted
+        = isSuccess(m_attempt->head->status) && (m_attempt->step == Step::Prefill || info.isSigned);
+    if (!info.requestLimit && !isTrusted)
         return;
     if (m_context.statedLimits.noteResponse(
             target, info.requestLimit, m_attempt->startedAt, steadyNow())) {
--- a/libs/conditions/include/conditions/Conditions.h
+++ b/libs/conditions/include/conditions/Conditions.h
@@ -102,8 +102,11 @@
      * @param noticeTime time from the first statement of a limit until it has to be kept.
      */
     RequestPacer(EntryId self, Milliseconds noticeTime);
-    /** Replaces the known gateways. */
-    void updateGateways(std::span<const EntryId> gateways);
+    /**
+     * Replaces the gateways that are announced. One that is not announced any more keeps its share
+     * for some seconds: it may be running, and only its announcement is lost.
+     */
+    void updateGateways(std::span<const EntryId> gateways, SteadyTime now);
 
     /**
      * @param limit as the target states it; none for a target without a limit.
@@ -130,7 +133,8 @@
 
     EntryId m_self;
     Milliseconds m_noticeTime;
-    std::vector<EntryId> m_otherGateways;
+    /** With the time since which they are not announced any more, if any. */
+    std::map<EntryId, std::optional<SteadyTime>> m_otherGateways;
     std::map<TargetId, Target> m_targets;
 };
 
--- a/libs/conditions/src/RequestPacer.cpp
+++ b/libs/conditions/src/RequestPacer.cpp
@@ -17,6 +17,9 @@
      * known counts in the first windows. */
     constexpr double WindowSlack = 1.25;
 
+    /** Gateways that are running announce themselves again sooner. */
+    constexpr Milliseconds GatewayRetention { 15000 };
+
     using Seconds = std::chrono::duration<double>;
 
 } // namespace
@@ -27,12 +30,17 @@
 {
 }
 
-void RequestPacer::updateGateways(std::span<const EntryId> gateways)
+void RequestPacer::updateGateways(std::span<const EntryId> gateways, SteadyTime now)
 {
-    m_otherGateways.clear();
+    for (auto& [gateway, goneSince] : m_otherGateways) {
+        if (std::find(gateways.begin(), gateways.end(), gateway) != gateways.end())
+            goneSince.reset();
+        else if (!goneSince)
+            goneSince = now;
+    }
     for (const EntryId& gateway : gateways) {
         if (gateway != m_self)
-            m_otherGateways.push_back(gateway);
+            m_otherGateways.try_emplace(gateway);
     }
     for (auto& [target, state] : m_targets)
         state.position.reset();
@@ -41,8 +49,8 @@
 size_t RequestPacer::positionOf(const TargetId& target) const
 {
     const uint64_t own = rendezvousRank(m_self.text(), target.text());
-    const auto isBefore = [own, &target](const EntryId& gateway) {
-        return rendezvousRank(gateway.text(), target.text()) < own;
+    const auto isBefore = [own, &target](const auto& gateway) {
+        return rendezvousRank(gateway.first.text(), target.text()) < own;
     };
     return static_cast<size_t>(
         std::count_if(m_otherGateways.begin(), m_otherGateways.end(), isBefore));
@@ -94,6 +102,13 @@
         const std::multiset<SteadyTime>& turns = item.second.turns;
         return turns.empty() || now - *turns.rbegin() > 2 * Window;
     });
+    const size_t removed = std::erase_if(m_otherGateways, [now](const auto& gateway) {
+        return gateway.second && now - *gateway.second > GatewayRetention;
+    });
+    if (removed == 0)
+        return;
+    for (auto& [target, state] : m_targets)
+        state.position.reset();
 }
 
 void RequestPacer::cancel(const TargetId& target, SteadyTime turn)
--- a/libs/conditions/tests/RequestPacerTests.cpp
+++ b/libs/conditions/tests/RequestPacerTests.cpp
@@ -46,7 +46,7 @@
         for (size_t index = 0; index < pattern.gateways; ++index) {
             m_gateways[index].pacer
                 = std::make_unique<RequestPacer>(ids[index], pattern.noticeTime);
-            m_gateways[index].pacer->updateGateways(ids);
+            m_gateways[index].pacer->updateGateways(ids, at(-5000));
         }
     }
 
@@ -204,6 +204,29 @@
     }
 }
 
+// Guards against a store that loses the announcements of all gateways: each then seemed to be the
+// only one and took the whole limit.
+Test(load_pattern, a_share_does_not_grow_while_announcements_are_lost)
+{
+    const std::vector<EntryId> gateways { EntryId("edge-1"), EntryId("edge-2"), EntryId("edge-3") };
+    RequestPacer pacer(gateways[0], Milliseconds(3000));
+    pacer.updateGateways(gateways, at(0));
+    const StatedLimits::Limit limit { 3, at(0) };
+    const TargetId target("engine");
+    pacer.book(target, at(1000));
+    cr_assert(pacer.nextTurn(target, limit, at(1000)) == at(2000));
+    pacer.updateGateways({}, at(1000));
+    cr_assert(pacer.nextTurn(target, limit, at(1000)) == at(2000));
+    pacer.updateGateways(std::span(gateways).first(1), at(3000));
+    pacer.expire(at(3000));
+    cr_assert(pacer.nextTurn(target, limit, at(1000)) == at(2000));
+    // They announce themselves again within seconds if they are running.
+    pacer.expire(at(20000));
+    pacer.book(target, at(20000));
+    cr_assert_leq(pacer.nextTurn(target, limit, at(20000))->time_since_epoch().count(),
+        at(20334).time_since_epoch().count());
+}
+
 Test(request_pacer, a_limit_of_zero_gets_a_request_now_and_then)
 {
     RequestPacer pacer(EntryId("edge-1"), Milliseconds(3000));
