Refused for a request limit: callers return when another engine decodes

Callers saw (trial with 6 gateways, both decode engines limited): those refused in the first seconds came back at a random time within 2 s, most of them while the engine that replaces the limited ones was still changing its role, and were refused again. Cause: Retry-After knew the turns of limited engines only. Change: it is not before the change of role ends, as far as callers accept it (a third of their remaining time). Evidence: load_pattern/callers_are_told_to_return_when_another_engine_decodes fails without the change.

--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -122,6 +122,8 @@
     bool isInTime(const Turn& turn) const;
     /** @return whether a decode engine can also prefill the prompt in time. */
     bool mayRunWhole() const;
+    /** @return time until an engine that is becoming a decode engine serves; 0 without one. */
+    Milliseconds timeToNextDecodeEngine() const;
     void refuseForLimits(const TargetStates& states, const std::optional<Turn>& turn);
     void cancelTurn(std::optional<Turn>& turn);
 
--- a/apps/gateway/RequestHandlerTurns.cpp
+++ b/apps/gateway/RequestHandlerTurns.cpp
@@ -145,6 +145,25 @@
     return prefillTime * WholeRunSlowdown <= (m_route->latencyObjective - age()) / TurnWaitDivisor;
 }
 
+Milliseconds RequestHandler::timeToNextDecodeEngine() const
+{
+    if (!m_pool->engine)
+        return Milliseconds(0);
+    const SteadyTime now = steadyNow();
+    std::optional<SteadyTime> earliest;
+    for (const dispatch::TargetState* state : m_context.directory.usable(m_pool->id, now)) {
+        const std::optional<SteadyTime> since
+            = m_context.reportedRoles.changingSince(state->record, now);
+        if (!since
+            || m_context.reportedRoles.withReportedRole(state->record, now).role
+                != EngineRole::Decode)
+            continue;
+        const SteadyTime ready = *since + m_pool->engine->roleChangeTime;
+        earliest = earliest ? std::min(*earliest, ready) : ready;
+    }
+    return earliest ? std::chrono::duration_cast<Milliseconds>(*earliest - now) : Milliseconds(0);
+}
+
 void RequestHandler::refuseForLimits(const TargetStates& states, const std::optional<Turn>& turn)
 {
     bool isNew = false;
@@ -159,11 +178,13 @@
         fail(Cause);
         return;
     }
-    const Milliseconds longest = std::min(ReturnPeriod, timeLeft() / RetryAfterDivisor);
-    Milliseconds earliest { 0 };
+    const Milliseconds longest
+        = std::clamp(timeLeft() / RetryAfterDivisor, Milliseconds(0), ReturnPeriod);
+    Milliseconds earliest = timeToNextDecodeEngine();
     if (turn)
-        earliest = std::clamp(std::chrono::duration_cast<Milliseconds>(turn->at - steadyNow()),
-            Milliseconds(0), longest);
+        earliest
+            = std::max(earliest, std::chrono::duration_cast<Milliseconds>(turn->at - steadyNow()));
+    earliest = std::clamp(earliest, Milliseconds(0), longest);
     const Milliseconds spread(static_cast<int64_t>(
         m_context.randomFraction() * static_cast<double>((longest - earliest).count())));
     refuse(Unavailable, Cause, earliest + spread);
--- a/apps/gateway/tests/LimitTests.cpp
+++ b/apps/gateway/tests/LimitTests.cpp
@@ -201,3 +201,31 @@
     cr_assert_eq(sendRequest(fixture, requestText("POST", "/a/x", "a2")).status, 200U);
     cr_assert_eq(fixture.seenBy("failing"), refusals);
 }
+
+// Guards against callers that are told to come back while it is known that nothing serves them yet.
+Test(load_pattern, callers_are_told_to_return_when_another_engine_decodes)
+{
+    LimitedTarget limited;
+    GatewayFixture fixture;
+    fixture.addRoute("/s/", { "streaming", "llm", 5000, 2, false, true });
+    fixture.declare(1);
+    fixture.addTarget("prefill-1", "llm", prefillPrompt, "prefill");
+    fixture.addTarget("prefill-2", "llm", prefillPrompt, "prefill");
+    fixture.addTarget("decode", "llm", limited.streamScript(), "decode");
+    fixture.start();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
+    fixture.reportRole("prefill-2", EngineRole::Decode, true);
+    const auto retryAfter = [&fixture] {
+        const CallerResponse response
+            = sendRequest(fixture, requestText("POST", "/s/x", "a1", PromptLines, "prompt"));
+        return std::stod(std::string(response.headers.find("Retry-After").value_or("0")));
+    };
+    // The change takes 3 s, and callers wait for a third of their 5 s at most.
+    constexpr double Least = 1.5;
+    constexpr double Most = 1.667;
+    GatewayFixture::waitUntil([&retryAfter] { return retryAfter() >= Least; });
+    for (int attempt = 0; attempt < 10; ++attempt) {
+        const double seconds = retryAfter();
+        cr_expect(seconds >= Least && seconds <= Most, "%.3f", seconds);
+    }
+}
--- a/libs/roles/include/roles/Roles.h
+++ b/libs/roles/include/roles/Roles.h
@@ -184,8 +184,14 @@
     void noteRecordChanged(const TargetId& engine) { m_reports.erase(engine); }
     /** @return the record with the role that the engine has or is taking. */
     fleet::TargetRecord withReportedRole(fleet::TargetRecord record, SteadyTime now) const;
-    /** @return whether the engine is changing its role and accepts no new work. */
-    bool isChanging(const fleet::TargetRecord& record, SteadyTime now) const;
+    /** @return since when the engine is changing its role and accepts no new work, if it is. */
+    std::optional<SteadyTime> changingSince(
+        const fleet::TargetRecord& record, SteadyTime now) const;
+    /** @return whether the engine is changing its role. */
+    bool isChanging(const fleet::TargetRecord& record, SteadyTime now) const
+    {
+        return changingSince(record, now).has_value();
+    }
 
 private:
     struct Received {
--- a/libs/roles/src/ReportedRoles.cpp
+++ b/libs/roles/src/ReportedRoles.cpp
@@ -38,10 +38,13 @@
     return record;
 }
 
-bool ReportedRoles::isChanging(const fleet::TargetRecord& record, SteadyTime now) const
+std::optional<SteadyTime> ReportedRoles::changingSince(
+    const fleet::TargetRecord& record, SteadyTime now) const
 {
     const Received* received = find(record, now);
-    return received && received->report.isChanging && received->report.role != record.role;
+    if (!received || !received->report.isChanging || received->report.role == record.role)
+        return std::nullopt;
+    return received->at;
 }
 
 } // namespace citronspoke::roles
--- a/libs/roles/tests/RoleRequestTests.cpp
+++ b/libs/roles/tests/RoleRequestTests.cpp
@@ -110,6 +110,7 @@
     cr_assert_not(roles.note({ record.id, record.startedAt, EngineRole::Decode, true }, now));
     cr_expect(roles.withReportedRole(record, now).role == EngineRole::Decode);
     cr_expect(roles.isChanging(record, now));
+    cr_expect(roles.changingSince(record, at(Milliseconds(500))) == now);
     cr_expect(roles.note({ record.id, record.startedAt, EngineRole::Decode, false }, now));
     cr_expect_not(roles.isChanging(record, now));
     roles.noteRecordChanged(record.id);
