Roles: request limits of engines divide the pool by what they allow

Change: gateways report the prompts that arrive; once a limit has left requests unserved, a decode engine with a limit counts as the part of an engine that its limit allows of these prompts. Engines without limits are added first, then limited ones while the others can prefill as much, half of the pool at most.

--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -68,6 +68,8 @@
             { "revision", std::to_string(m_routes->declaration().revision.value()) },
             { "left_ms", millisecondsText(timeLeft()) },
             { "tokens", std::to_string(m_callerInfo.prompt ? m_callerInfo.prompt->tokens : 0) } });
+    if (m_pool->engine && m_callerInfo.prompt)
+        m_context.demandMeters[m_pool->id].noteArrival(steadyNow());
     const std::weak_ptr<RequestHandler> weak = weak_from_this();
     m_deadlineTimer.arm(timeLeft() + DeadlineSlack, [weak] {
         if (const std::shared_ptr<RequestHandler> self = weak.lock())
--- a/libs/peers/src/Codec.cpp
+++ b/libs/peers/src/Codec.cpp
@@ -13,7 +13,8 @@
     using CrashTuple = std::tuple<uint64_t, std::vector<uint64_t>>;
     /** Engine, start of its incarnation, whether it decodes, whether it is changing. */
     using RoleTuple = std::tuple<std::string, int64_t, bool, bool>;
-    using DemandTuple = std::tuple<std::string, float, float>;
+    /** Pool, decode engines, prefill engines, prompts a second. */
+    using DemandTuple = std::tuple<std::string, float, float, float>;
     /** Target, start of its incarnation, whether it states a limit, requests a second, age of the
      * statement and of the first one in milliseconds, whether requests were refused. */
     using LimitTuple = std::tuple<std::string, int64_t, bool, double, int64_t, int64_t, bool>;
@@ -69,7 +70,8 @@
     std::vector<DemandTuple> demands;
     for (const DemandReport& report : update.demands)
         demands.emplace_back(report.pool.text(), static_cast<float>(report.demand.decodeEngines),
-            static_cast<float>(report.demand.prefillEngines));
+            static_cast<float>(report.demand.prefillEngines),
+            static_cast<float>(report.demand.prompts));
     std::vector<LimitTuple> limits;
     for (const conditions::LimitReport& report : update.limits)
         limits.emplace_back(report.target.text(), report.targetStartedAt.value(),
@@ -108,8 +110,8 @@
         for (const auto& [engine, startedAt, decodes, isChanging] : std::get<9>(tuple))
             update.roles.push_back(
                 { TargetId(engine), UnixMillis(startedAt), roleOf(decodes), isChanging });
-        for (const auto& [pool, decodeEngines, prefillEngines] : std::get<10>(tuple))
-            update.demands.push_back({ PoolId(pool), { decodeEngines, prefillEngines } });
+        for (const auto& [pool, decodeEngines, prefillEngines, prompts] : std::get<10>(tuple))
+            update.demands.push_back({ PoolId(pool), { decodeEngines, prefillEngines, prompts } });
         for (const auto& [target, startedAt, hasLimit, limit, age, ageOfFirst, isShort] :
             std::get<11>(tuple)) {
             conditions::LimitReport report { TargetId(target), UnixMillis(startedAt), std::nullopt,
--- a/libs/roles/include/roles/Roles.h
+++ b/libs/roles/include/roles/Roles.h
@@ -20,6 +20,8 @@
 struct Demand {
     double decodeEngines = 0;
     double prefillEngines = 0;
+    /** Prompts that arrive, also those that are refused. */
+    conditions::RequestsPerSecond prompts = 0;
 
     Demand& operator+=(const Demand& other);
 };
@@ -27,7 +29,9 @@
 /** Measures the demand of one gateway's requests over the last seconds. */
 class DemandMeter {
 public:
-    /** A prompt arrived. @param prefillTime on an idle engine. */
+    /** A prompt arrived, which may be refused. */
+    void noteArrival(SteadyTime now);
+    /** A prompt is prefilled. @param prefillTime on an idle engine. */
     void notePrompt(Milliseconds prefillTime, SteadyTime now);
     /**
      * A decode engine began its response.
@@ -49,6 +53,7 @@
     /** Sums over a part of the measured time. */
     struct Bucket {
         SteadyTime start;
+        uint32_t arrivals = 0;
         uint32_t prompts = 0;
         double prefillMs = 0;
         /** Time for which decodes occupied slots, and KV cache, as shares of one engine. */
@@ -70,16 +75,6 @@
     bool isLost = false;
     /** The request limit that it states, if any. */
     std::optional<conditions::StatedLimits::Limit> limit;
-
-    /**
-     * @return whether it keeps its role and others are planned as if it were not there: a limited
-     *         engine is no better in another role, and a decode engine whose limit has left
-     *         requests unserved is no full one.
-     */
-    bool isHeldByLimit() const
-    {
-        return limit && (record.role != EngineRole::Decode || limit->isShort);
-    }
 };
 
 /** A role that an engine should take. */
@@ -92,17 +87,28 @@
     bool operator==(const RoleChange&) const = default;
 };
 
+/** How many engines of a pool should decode. */
+struct DecodeTarget {
+    /** In engines without a request limit. */
+    uint32_t engines = 0;
+    /** Prompts that they decode together. */
+    conditions::RequestsPerSecond prompts = 0;
+    /** Most engines, when their limits require more. */
+    uint32_t most = 0;
+};
+
 /**
  * Chooses the engines that should decode; the others should prefill. All processes that know the
  * same engines choose the same ones. Engines that decode already come first, then the zone with
- * the fewest decode engines.
- * @param engines of one pool, in any order; leaving and lost ones, those without a role
- *        and those held by their limits are ignored.
- * @param count how many should decode.
+ * the fewest decode engines. A decode engine whose request limit has left requests unserved counts
+ * as the part of an engine that its limit allows; others are chosen in addition, those without
+ * limits first, as long as the limits of both roles allow more prompts together.
+ * @param engines of one pool, in any order; leaving and lost ones and those without a role are
+ *        ignored.
  * @param passedOver engines that are not newly chosen.
  */
-std::set<TargetId> chooseDecodeEngines(std::span<const PlannedEngine> engines, uint32_t count,
-    const std::set<TargetId>& passedOver = {});
+std::set<TargetId> chooseDecodeEngines(std::span<const PlannedEngine> engines,
+    const DecodeTarget& target, const std::set<TargetId>& passedOver = {});
 
 /** How a demand divides the engines of a pool. */
 struct RoleSplit {
@@ -114,6 +120,12 @@
 /** @param engines usable engines of a pool. */
 RoleSplit splitRoles(size_t engines, const Demand& demand);
 
+/**
+ * @param engines usable engines of a pool.
+ * @return how many may decode when their request limits require many.
+ */
+uint32_t mostDecodeEngines(size_t engines, const Demand& demand);
+
 /** Plans the roles of the engines of one pool. */
 class RolePlanner {
 public:
@@ -154,6 +166,7 @@
     SteadyTime m_start;
     bool m_isFirstStart;
     uint32_t m_decodeEngines = 0;
+    uint32_t m_mostDecodeEngines = 0;
     /** Recent wanted numbers of decode engines; the largest one counts. */
     std::deque<std::pair<SteadyTime, uint32_t>> m_recentWanted;
     std::map<TargetId, WantedChange> m_wantedChanges;
--- a/libs/roles/src/DecodeEngineChoice.cpp
+++ b/libs/roles/src/DecodeEngineChoice.cpp
@@ -21,32 +21,132 @@
     /** A need that exceeds a whole number of engines by less is rounded down. */
     constexpr double RoundingSlack = 0.25;
 
+    /** An engine whose limit allows less than this part of a full engine's prompts is not worth a
+     * change of role. */
+    constexpr double SmallestUsefulPart = 0.2;
+    /** Decode engines with limits are released when the others allow this much more than needed,
+     * since limits and demand vary. */
+    constexpr double ReleaseFactor = 1.25;
+
+    using Engines = std::vector<const PlannedEngine*>;
+
     struct ByRegistration {
-        bool operator()(
-            const fleet::TargetRecord* left, const fleet::TargetRecord* right) const noexcept
+        bool operator()(const PlannedEngine* left, const PlannedEngine* right) const noexcept
         {
-            return std::tie(left->registration, left->id)
-                < std::tie(right->registration, right->id);
+            return std::tie(left->record.registration, left->record.id)
+                < std::tie(right->record.registration, right->record.id);
         }
     };
-    using Records = std::vector<const fleet::TargetRecord*>;
 
     /** Takes one engine from the zone with the fewest chosen ones, the oldest first. */
-    void chooseOne(
-        Records& candidates, std::map<ZoneId, uint32_t>& chosenByZone, std::set<TargetId>& chosen)
+    const PlannedEngine* takeNext(Engines& candidates, std::map<ZoneId, uint32_t>& chosenByZone)
     {
         const auto best = std::min_element(candidates.begin(), candidates.end(),
-            [&chosenByZone](const fleet::TargetRecord* left, const fleet::TargetRecord* right) {
-                const uint32_t leftCount = chosenByZone[left->zone];
-                const uint32_t rightCount = chosenByZone[right->zone];
+            [&chosenByZone](const PlannedEngine* left, const PlannedEngine* right) {
+                const uint32_t leftCount = chosenByZone[left->record.zone];
+                const uint32_t rightCount = chosenByZone[right->record.zone];
                 return leftCount != rightCount ? leftCount < rightCount
                                                : ByRegistration {}(left, right);
             });
-        chosen.insert((*best)->id);
-        chosenByZone[(*best)->zone] += 1;
+        const PlannedEngine* engine = *best;
         candidates.erase(best);
+        return engine;
     }
 
+    /** Chooses decode engines one after another and adds up what their limits allow. */
+    class DecodeChoice {
+    public:
+        /** @param prefilling engines that do not decode. */
+        DecodeChoice(const DecodeTarget& target, size_t prefilling)
+            : m_target(target)
+            , m_prefilling(prefilling)
+        {
+        }
+
+        /** Chooses engines that decode already, until they are enough. */
+        void keep(Engines engines)
+        {
+            const bool limitsBind = std::any_of(engines.begin(), engines.end(), isShort);
+            const double enough = m_target.engines * (limitsBind ? ReleaseFactor : 1.0);
+            while (m_sum < enough && !engines.empty()) {
+                const PlannedEngine* engine = takeNext(engines, m_chosenByZone);
+                add(*engine, limitsBind ? partOf(*engine) : 1);
+            }
+        }
+
+        /** Chooses engines without limits that prefill, until there are enough. */
+        void addUnlimited(Engines engines)
+        {
+            while (mayAdd() && !engines.empty())
+                addPrefilling(*takeNext(engines, m_chosenByZone), 1);
+        }
+
+        /**
+         * Chooses engines with limits that prefill, as long as the others can prefill as much.
+         * @param unlimited engines without limits that go on prefilling.
+         */
+        void addLimited(Engines engines, size_t unlimited)
+        {
+            double prefillSum = static_cast<double>(unlimited) * m_target.engines;
+            for (const PlannedEngine* engine : engines)
+                prefillSum += partOf(*engine);
+            while (mayAdd() && !engines.empty()) {
+                const PlannedEngine* engine = takeNext(engines, m_chosenByZone);
+                const double part = partOf(*engine);
+                const double decoded = std::min<double>(m_target.engines, m_sum + part);
+                if (part < SmallestUsefulPart || decoded - (prefillSum - part) > RoundingSlack)
+                    continue;
+                prefillSum -= part;
+                addPrefilling(*engine, part);
+            }
+        }
+
+        const std::set<TargetId>& chosen() const noexcept { return m_chosen; }
+
+    private:
+        static bool isShort(const PlannedEngine* engine)
+        {
+            return engine->limit && engine->limit->isShort;
+        }
+
+        /** @return the part of a full decode engine's prompts that the engine's limit allows. */
+        double partOf(const PlannedEngine& engine) const
+        {
+            if (!engine.limit || m_target.prompts <= 0)
+                return 1;
+            return std::min(
+                1.0, engine.limit->requestsPerSecond * m_target.engines / m_target.prompts);
+        }
+
+        /** One engine prefills, unless it is the only one. */
+        bool mayAdd() const
+        {
+            const bool isMissingOne = m_target.engines - m_sum > RoundingSlack;
+            const bool hasRoom = m_chosen.size() < std::max(m_target.engines, m_target.most);
+            return isMissingOne && hasRoom && (m_prefilling > 1 || m_chosen.empty());
+        }
+
+        void addPrefilling(const PlannedEngine& engine, double part)
+        {
+            m_prefilling -= 1;
+            add(engine, part);
+        }
+
+        void add(const PlannedEngine& engine, double part)
+        {
+            m_chosen.insert(engine.record.id);
+            m_chosenByZone[engine.record.zone] += 1;
+            m_sum += part;
+        }
+
+        DecodeTarget m_target;
+        size_t m_prefilling;
+        std::set<TargetId> m_chosen;
+        std::map<ZoneId, uint32_t> m_chosenByZone;
+        /** In engines without a request limit. */
+        double m_sum = 0;
+    };
+
 } // namespace
 
 RoleSplit splitRoles(size_t engines, const Demand& demand)
@@ -68,27 +168,39 @@
     return { static_cast<uint32_t>(std::clamp(needed, least, most)), isShort };
 }
 
-std::set<TargetId> chooseDecodeEngines(
-    std::span<const PlannedEngine> engines, uint32_t count, const std::set<TargetId>& passedOver)
+uint32_t mostDecodeEngines(size_t engines, const Demand& demand)
 {
-    Records decoding;
-    Records others;
+    const double all = static_cast<double>(engines);
+    const double left = all - std::ceil(demand.prefillEngines / MaxPrefillUtilization);
+    return static_cast<uint32_t>(
+        std::clamp(std::floor(MaxDecodeShare * all), 0.0, std::max(left, 0.0)));
+}
+
+std::set<TargetId> chooseDecodeEngines(std::span<const PlannedEngine> engines,
+    const DecodeTarget& target, const std::set<TargetId>& passedOver)
+{
+    Engines decoding;
+    Engines unlimited;
+    Engines limited;
+    size_t prefilling = 0;
     for (const PlannedEngine& engine : engines) {
-        if (!engine.record.role || engine.record.isLeaving || engine.isLost
-            || engine.isHeldByLimit())
+        if (!engine.record.role || engine.record.isLeaving || engine.isLost)
             continue;
-        if (*engine.record.role == EngineRole::Decode)
-            decoding.push_back(&engine.record);
-        else if (!passedOver.contains(engine.record.id))
-            others.push_back(&engine.record);
-    }
-    std::set<TargetId> chosen;
-    std::map<ZoneId, uint32_t> chosenByZone;
-    for (Records* candidates : { &decoding, &others }) {
-        while (chosen.size() < count && !candidates->empty())
-            chooseOne(*candidates, chosenByZone, chosen);
+        if (*engine.record.role == EngineRole::Decode) {
+            decoding.push_back(&engine);
+            continue;
+        }
+        prefilling += 1;
+        if (!passedOver.contains(engine.record.id))
+            (engine.limit ? limited : unlimited).push_back(&engine);
     }
-    return chosen;
+    DecodeChoice choice(target, prefilling);
+    choice.keep(decoding);
+    const size_t kept = choice.chosen().size();
+    choice.addUnlimited(unlimited);
+    const size_t added = choice.chosen().size() - kept;
+    choice.addLimited(limited, unlimited.size() - added);
+    return choice.chosen();
 }
 
 } // namespace citronspoke::roles
--- a/libs/roles/src/Demand.cpp
+++ b/libs/roles/src/Demand.cpp
@@ -24,6 +24,7 @@
 {
     decodeEngines += other.decodeEngines;
     prefillEngines += other.prefillEngines;
+    prompts += other.prompts;
     return *this;
 }
 
@@ -36,6 +37,8 @@
     return m_buckets.back();
 }
 
+void DemandMeter::noteArrival(SteadyTime now) { currentBucket(now).arrivals += 1; }
+
 void DemandMeter::notePrompt(Milliseconds prefillTime, SteadyTime now)
 {
     Bucket& bucket = currentBucket(now);
@@ -68,6 +71,7 @@
 
 Demand DemandMeter::demand(SteadyTime now) const
 {
+    double arrivals = 0;
     double prompts = 0;
     double prefillMs = 0;
     double slotsMs = 0;
@@ -75,6 +79,7 @@
     for (const Bucket& bucket : m_buckets) {
         if (now - bucket.start > MeasuredTime)
             continue;
+        arrivals += bucket.arrivals;
         prompts += bucket.prompts;
         prefillMs += bucket.prefillMs;
         slotsMs += bucket.slotsMs;
@@ -84,7 +89,8 @@
     // Transfers, slots and memory limit an engine independently; the scarcest one counts.
     const double decodeMs
         = std::max({ prompts * TransferShare * m_decodeStartMs, slotsMs, cacheMs });
-    return { decodeMs / measuredMs, prefillMs / measuredMs };
+    const double measuredS = std::chrono::duration<double>(MeasuredTime).count();
+    return { decodeMs / measuredMs, prefillMs / measuredMs, arrivals / measuredS };
 }
 
 } // namespace citronspoke::roles
--- a/libs/roles/src/RolePlanner.cpp
+++ b/libs/roles/src/RolePlanner.cpp
@@ -85,13 +85,10 @@
     const size_t usable
         = static_cast<size_t>(std::count_if(engines.begin(), engines.end(), isUsable));
     const uint32_t held = heldDecodeEngines(splitRoles(usable, demand), now);
-    const size_t heldByLimits = static_cast<size_t>(std::count_if(engines.begin(), engines.end(),
-        [](const PlannedEngine& engine) { return isUsable(engine) && engine.isHeldByLimit(); }));
-    // The held number may stem from a time with more engines; one of those that are planned
-    // prefills.
-    const size_t most = usable - std::min(usable, heldByLimits + 1);
-    m_decodeEngines
-        = usable < 2 ? static_cast<uint32_t>(usable) : std::min(held, static_cast<uint32_t>(most));
+    // The held number may stem from a time with more engines.
+    m_decodeEngines = usable < 2 ? static_cast<uint32_t>(usable)
+                                 : std::min(held, static_cast<uint32_t>(usable - 1));
+    m_mostDecodeEngines = mostDecodeEngines(usable, demand);
 }
 
 bool RolePlanner::isDue(WantedChange& wanted, SteadyTime now)
@@ -111,12 +108,12 @@
     std::span<const PlannedEngine> engines, const Demand& demand, SteadyTime now)
 {
     updateDecodeEngines(engines, demand, now);
-    const std::set<TargetId> decodeEngines
-        = chooseDecodeEngines(engines, m_decodeEngines, passedOver(now));
+    const std::set<TargetId> decodeEngines = chooseDecodeEngines(
+        engines, { m_decodeEngines, demand.prompts, m_mostDecodeEngines }, passedOver(now));
     std::map<TargetId, WantedChange> wantedBefore = std::exchange(m_wantedChanges, {});
     std::vector<RoleChange> due;
     for (const PlannedEngine& engine : engines) {
-        if (!isUsable(engine) || engine.isHeldByLimit())
+        if (!isUsable(engine))
             continue;
         const fleet::TargetRecord& record = engine.record;
         passOverIfFailed(record, now);
