Fault soak: shorter names of faults, crash faults with their duration

Change: crashFault takes the duration that its caller set afterwards; the settings text is split at a line.

--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -68,9 +68,8 @@
         + quoted(own.text()) + "readiness = " + quoted(pickAddress().text()) + "operator = "
         + quoted(pickAddress().text()) + "store = " + quoted(place.storeLink->address().text())
         + "sidecar_port = " + std::to_string(m_sidecarPort)
-        + "\napply_time_ms = 2000\ndrain_time_ms = 2000\nlimit_notice_ms = 3000\nstop_grace_s = "
-          "8\nretry_share = "
-          "0.2\nretry_fixed_part = 58\nretry_window_s = 10\n";
+        + "\napply_time_ms = 2000\ndrain_time_ms = 2000\nlimit_notice_ms = 3000\nstop_grace_s = 8\n"
+          "retry_share = 0.2\nretry_fixed_part = 58\nretry_window_s = 10\n";
     place.process = std::make_unique<SoakProcess>(name, m_options.programs + "/citronspoke-gateway",
         place.settings, m_options.folder, m_history);
     m_gateways.push_back(std::move(place));
@@ -342,7 +341,7 @@
     }
 }
 
-Fault SoakFleet::crashFault(TargetPlace& place, bool keepsId)
+Fault SoakFleet::crashFault(TargetPlace& place, bool keepsId, Milliseconds duration)
 {
     place.hasFault = true;
     const std::string id = place.target->id();
@@ -352,7 +351,7 @@
             startTarget(place, keepsId ? id : nextIncarnationId(place));
             place.hasFault = false;
         },
-        {} };
+        duration };
 }
 
 Fault SoakFleet::targetFault(std::mt19937_64& random)
@@ -383,13 +382,10 @@
         break;
     case 4:
         faults.requestLimit = static_cast<double>(randomIndex(random, 20)) / 4;
-        name = "states a limit of " + std::to_string(*faults.requestLimit) + " requests a second";
+        name = "states a request limit";
         break;
-    default: {
-        Fault fault = crashFault(place, randomIndex(random, 2) == 0);
-        fault.duration = duration;
-        return fault;
-    }
+    default:
+        return crashFault(place, randomIndex(random, 2) == 0, duration);
     }
     place.hasFault = true;
     return { place.target->id() + " " + name, [&place, faults] { place.target->setFaults(faults); },
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -96,7 +96,7 @@
     Fault linkFault(std::mt19937_64& random);
     Fault storeFault(std::mt19937_64& random);
     Fault targetFault(std::mt19937_64& random);
-    Fault crashFault(TargetPlace& place, bool keepsId);
+    Fault crashFault(TargetPlace& place, bool keepsId, Milliseconds duration);
     GatewayPlace& randomGateway(std::mt19937_64& random);
     TargetPlace& randomTarget(std::mt19937_64& random);
     SoakProcess& randomProcess(std::mt19937_64& random);
