--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -200,7 +200,8 @@
         { { "target", record->id.text() }, { "pool", record->pool.text() },
             { "address", record->address.text() },
             { "state", record->isLeaving ? "leaving" : "serving" },
-            { "role", record->role ? std::string(toText(*record->role)) : "" } });
+            { "role", record->role ? std::string(toText(*record->role)) : "" },
+            { "version", record->version.text() } });
 }
 
 void Gateway::accept(channels::ConnectionPointer connection)
--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -21,6 +21,12 @@
     constexpr Milliseconds MaxFreshIdleTime { 500 };
     constexpr Milliseconds AnyIdleTime = std::chrono::hours(1);
 
+    /** @return the number as a log line shows it; empty for none. */
+    template <typename Integer> std::string numberText(const std::optional<Integer>& number)
+    {
+        return number ? std::to_string(*number) : std::string();
+    }
+
 } // namespace
 
 std::string_view RequestHandler::stepName(Step step)
@@ -67,7 +73,9 @@
             { "pool", m_pool->id.text() },
             { "revision", std::to_string(m_routes->declaration().revision.value()) },
             { "left_ms", millisecondsText(timeLeft()) },
-            { "tokens", std::to_string(m_callerInfo.prompt ? m_callerInfo.prompt->tokens : 0) } });
+            { "tokens", std::to_string(m_callerInfo.prompt ? m_callerInfo.prompt->tokens : 0) },
+            { "resumes", m_callerInfo.resumedAttempt.text() },
+            { "last_event", numberText(m_lastEventId) } });
     if (m_pool->engine && m_callerInfo.prompt)
         m_context.demandMeters[m_pool->id].noteArrival(steadyNow());
     const std::weak_ptr<RequestHandler> weak = weak_from_this();
@@ -252,9 +260,10 @@
     telemetry::logInfo("request", "Sent.",
         { { "id", m_callerInfo.attempt.text() }, { "attempt", std::to_string(m_attempts) },
             { "step", std::string(stepName(step)) }, { "target", target.id.text() },
-            { "address", target.address.text() },
+            { "address", target.address.text() }, { "version", target.version.text() },
+            { "last_event", numberText(fields.lastEventId) },
             { "tokens", std::to_string(load.tokensToPrefill()) },
-            { "urgency", fields.priority ? std::to_string(*fields.priority) : "" },
+            { "urgency", numberText(fields.priority) },
             { "fetch", fields.fetchPartsFrom ? fields.fetchPartsFrom->text() : "" },
             { "kept_connection", m_attempt->exchange->isSent() ? "yes" : "no" },
             { "left_ms", millisecondsText(fields.timeLeft) } });
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -128,6 +128,8 @@
     void cancelTurn(std::optional<Turn>& turn);
 
     bool isOwnResponse(const http1::ResponseHead& head) const;
+    /** Counts a stream that goes on at the current attempt's target. */
+    void countResume() const;
     /** Follows the request limit that the target states in the current response. */
     void noteStatedLimit();
     void onHead(const http1::ResponseHead& head);
@@ -197,6 +199,8 @@
     /** Forwarded to the caller when no other target serves the request. */
     std::optional<TargetFailure> m_targetFailure;
     std::optional<uint64_t> m_lastEventId;
+    /** Of the target that began the stream; empty while that is not known. */
+    SoftwareVersion m_streamVersion;
     bool m_hasBegunResponse = false;
     bool m_isOver = false;
 };
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -50,14 +50,28 @@
     }
     telemetry::logInfo("request", "Answer begins.",
         { { "id", m_callerInfo.attempt.text() }, { "target", m_attempt->target.id.text() },
+            { "version", m_attempt->target.version.text() },
             { "took_ms", millisecondsText(since(m_attempt->startedAt)) },
             { "age_ms", millisecondsText(age()) } });
+    countResume();
     if (m_hasBegunResponse)
         return;
     m_hasBegunResponse = true;
+    m_streamVersion = m_attempt->target.version;
     m_writer->beginBody(head.status, head.reason, adapter::responseHeadersForCaller(head));
 }
 
+void RequestHandler::countResume() const
+{
+    if (!m_hasBegunResponse && !m_lastEventId)
+        return;
+    std::string relation = "unknown";
+    if (!m_streamVersion.empty())
+        relation = m_streamVersion == m_attempt->target.version ? "same" : "other";
+    telemetry::count("streams_resumed",
+        { { "by", m_hasBegunResponse ? "gateway" : "caller" }, { "version", relation } });
+}
+
 void RequestHandler::noteStatedLimit()
 {
     const adapter::ResponseInfo& info = m_attempt->responseInfo;
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -118,6 +118,8 @@
     bool isLeaving = false;
     /** Set for model engines that separate prefill from decode. */
     std::optional<EngineRole> role;
+    /** Empty when the record does not state it. Versions have no order. */
+    SoftwareVersion version;
     /** When the target started; with the id it identifies an incarnation of the target. */
     UnixMillis startedAt;
     /** Grows from one registration in the store to the next. */
--- a/libs/model/include/model/Model.h
+++ b/libs/model/include/model/Model.h
@@ -48,6 +48,8 @@
 using PoolId = Id<struct PoolTag>;
 using RequestId = Id<struct RequestTag>;
 using ZoneId = Id<struct ZoneTag>;
+/** The version of a target's software; not that of its model's weights. */
+using SoftwareVersion = Id<struct SoftwareVersionTag>;
 using IdempotencyKey = Id<struct IdempotencyKeyTag>;
 /** The address at which a process receives messages from its peers, "tcp://IP:PORT". */
 using PeerAddress = Id<struct PeerAddressTag>;
