Tests of streams while two software versions serve; fail

Change: four tests: a lost engine, a version that is gone, a caller that resumes at another gateway after the first was killed, a stream that no gateway knows. The gateway fixture runs several gateways and targets with versions.

--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -21,18 +21,17 @@
 } // namespace
 
 GatewayFixture::GatewayFixture()
-    : m_callersPort(m_ports.pick())
-    , m_readinessPort(m_ports.pick())
-    , m_operatorPort(m_ports.pick())
-    , m_sidecarPort(m_ports.pick())
+    : m_sidecarPort(m_ports.pick())
 {
 }
 
-GatewayFixture::~GatewayFixture()
+GatewayFixture::~GatewayFixture() = default;
+
+GatewayFixture::RunningGateway::~RunningGateway()
 {
-    m_loop.stop();
-    if (m_thread.joinable())
-        m_thread.join();
+    loop.stop();
+    if (thread.joinable())
+        thread.join();
 }
 
 void GatewayFixture::addRoute(const std::string& prefix, const RouteOptions& options)
@@ -45,8 +44,8 @@
     m_store.put("op/config", fakes::declarationText(version, m_routes));
 }
 
-void GatewayFixture::addTarget(
-    const std::string& id, const std::string& service, Script script, const std::string& role)
+void GatewayFixture::addTarget(const std::string& id, const std::string& service, Script script,
+    const std::string& role, const std::string& version)
 {
     m_targets.push_back(std::make_unique<fakes::FakeHttpServer>(
         [this, id, script = std::move(script)](
@@ -61,8 +60,8 @@
             }
             script(request, connection);
         }));
-    m_store.put(
-        "servers/" + id, fakes::entryText(service, m_targets.back()->address().text(), role));
+    m_store.put("servers/" + id,
+        fakes::entryText({ service, m_targets.back()->address().text(), role, "ready", version }));
 }
 
 void GatewayFixture::setCachedParts(const std::string& id, const std::map<std::string, int>& parts)
@@ -88,21 +87,30 @@
         200, {}, nlohmann::json { { "epoch", 1 }, { "next", 1 }, { "held", held } }.dump());
 }
 
-void GatewayFixture::start()
+void GatewayFixture::start(size_t count)
+{
+    for (size_t number = 0; number < count; ++number)
+        m_gateways.push_back(startGateway(number));
+}
+
+std::unique_ptr<GatewayFixture::RunningGateway> GatewayFixture::startGateway(size_t number)
 {
+    std::unique_ptr<RunningGateway> running = std::make_unique<RunningGateway>();
     const std::string host = "127.0.0.1:";
-    m_settings.id = "gateway-1";
-    m_settings.zone = ZoneId("zone-a");
-    m_settings.callers = host + std::to_string(m_callersPort);
-    m_settings.readiness = host + std::to_string(m_readinessPort);
-    m_settings.operatorAddress = host + std::to_string(m_operatorPort);
-    m_settings.store = m_store.address().text();
-    m_settings.sidecarPort = m_sidecarPort;
-    m_settings.stopGrace = Milliseconds(20000);
-    m_settings.retries = { 10, 100, Milliseconds(10000) };
-    m_gateway = std::make_unique<Gateway>(m_loop, m_settings);
-    m_gateway->start();
-    m_thread = std::jthread([this] { m_loop.run(); });
+    settings::GatewaySettings& settings = running->settings;
+    settings.id = "gateway-" + std::to_string(number + 1);
+    settings.zone = ZoneId("zone-a");
+    settings.callers = host + std::to_string(m_ports.pick());
+    settings.readiness = host + std::to_string(m_ports.pick());
+    settings.operatorAddress = host + std::to_string(m_ports.pick());
+    settings.store = m_store.address().text();
+    settings.sidecarPort = m_sidecarPort;
+    settings.stopGrace = Milliseconds(20000);
+    settings.retries = { 10, 100, Milliseconds(10000) };
+    running->gateway = std::make_unique<Gateway>(running->loop, settings);
+    running->gateway->start();
+    running->thread = std::jthread([&loop = running->loop] { loop.run(); });
+    return running;
 }
 
 void GatewayFixture::reportRole(const std::string& id, EngineRole role, bool isChanging)
@@ -112,12 +120,12 @@
     const std::string datagram = outbox.takeDatagrams(EntryId("sidecar-" + id), unixNow()).front();
     channels::EventLoop loop;
     channels::DatagramPort port(loop, { "127.0.0.1", m_ports.pick() }, [](std::string_view) {});
-    port.send({ "127.0.0.1", m_operatorPort }, datagram);
+    port.send(fleet::requireAddress(m_gateways.front()->settings.operatorAddress), datagram);
 }
 
-uint32_t GatewayFixture::readiness() const
+uint32_t GatewayFixture::readiness(size_t gateway) const
 {
-    Caller caller({ "127.0.0.1", m_readinessPort });
+    Caller caller(fleet::requireAddress(m_gateways.at(gateway)->settings.readiness));
     caller.send("GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n");
     return caller.receive().status;
 }
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -27,9 +27,9 @@
     void addRoute(const std::string& prefix, const RouteOptions& options);
     /** Writes the declaration with the routes added so far. */
     void declare(int version);
-    /** @param role empty for an application. */
+    /** @param role empty for an application. @param version of the target's software. */
     void addTarget(const std::string& id, const std::string& service, Script script,
-        const std::string& role = {});
+        const std::string& role = {}, const std::string& version = "v1");
     /** Sets the cached prompt parts that an engine reports: tokens by part id. */
     void setCachedParts(const std::string& id, const std::map<std::string, int>& parts);
     /** @return whether a target was queried for its cached prompt parts. */
@@ -38,17 +38,23 @@
     void reportRole(const std::string& id, EngineRole role, bool isChanging);
     /** Receives the gateway's requests to sidecars; all engines of the fixture share one port. */
     fleet::Address sidecars() const { return { "127.0.0.1", m_sidecarPort }; }
-    /** Starts the gateway without waiting until it is ready. */
-    void start();
+    /** Starts the gateways without waiting until they are ready. @param count of gateways. */
+    void start(size_t count = 1);
     void stopGateway()
     {
-        m_loop.post([this] { m_gateway->beginStop(); });
+        m_gateways.front()->loop.post([this] { m_gateways.front()->gateway->beginStop(); });
     }
+    /** Ends a gateway as if it were killed. @param number from 0. */
+    void killGateway(size_t number) { m_gateways.at(number).reset(); }
 
     fakes::FakeFleetStore& store() { return m_store; }
-    fleet::Address callers() const { return { "127.0.0.1", m_callersPort }; }
-    /** @return the status of the readiness page. */
-    uint32_t readiness() const;
+    /** @return where callers connect to a gateway. @param gateway its number, from 0. */
+    fleet::Address callers(size_t gateway = 0) const
+    {
+        return fleet::requireAddress(m_gateways.at(gateway)->settings.callers);
+    }
+    /** @return the status of a gateway's readiness page. */
+    uint32_t readiness(size_t gateway = 0) const;
     std::vector<SeenRequest> seen() const;
     /** @return how many requests a target received. */
     size_t seenBy(const std::string& target) const;
@@ -58,6 +64,16 @@
     static void waitUntil(const std::function<bool()>& condition);
 
 private:
+    struct RunningGateway {
+        ~RunningGateway();
+
+        settings::GatewaySettings settings;
+        channels::EventLoop loop;
+        std::unique_ptr<Gateway> gateway;
+        std::jthread thread;
+    };
+
+    std::unique_ptr<RunningGateway> startGateway(size_t number);
     void sendCacheList(const std::string& id, fakes::FakeConnection& connection);
 
     fakes::FakeFleetStore m_store;
@@ -68,14 +84,8 @@
     std::set<std::string> m_cacheQueried;
     std::vector<std::unique_ptr<fakes::FakeHttpServer>> m_targets;
     localfleet::PortPicker m_ports;
-    uint16_t m_callersPort;
-    uint16_t m_readinessPort;
-    uint16_t m_operatorPort;
     uint16_t m_sidecarPort;
-    settings::GatewaySettings m_settings;
-    channels::EventLoop m_loop;
-    std::unique_ptr<Gateway> m_gateway;
-    std::jthread m_thread;
+    std::vector<std::unique_ptr<RunningGateway>> m_gateways;
 };
 
 /** The response to a caller, as far as it arrived. */
--- /dev/null
+++ b/apps/gateway/tests/VersionTests.cpp
@@ -0,0 +1,162 @@
+// Streams while engines of several software versions serve in one pool.
+#include "GatewayFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace citronspoke;
+using namespace citronspoke::gateway;
+using namespace citronspoke::gateway::tests;
+using fakes::FakeConnection;
+using fakes::FakeRequest;
+
+namespace {
+
+const std::string PromptLines = "X-Model: m\r\nX-Token-Counts: 1460,80\r\n"
+                                "X-Prefix-Hash: 5c1e:800,91bd:660\r\n";
+
+void prefillPrompt(const FakeRequest& request, FakeConnection& connection)
+{
+    http1::Headers headers;
+    headers.add("X-Attempt-Id", request.field("X-Attempt-Id"));
+    connection.answer(200, headers,
+        request.head.method == "DELETE" ? "" : R"({"kvHandle":"h1","tokens":1460,"version":1})");
+}
+
+/** Sends the events that are left of a stream of four. */
+void streamToEnd(const FakeRequest& request, FakeConnection& connection)
+{
+    const std::string last = request.field("Last-Event-Id");
+    sendEvents(request, connection, last.empty() ? 1 : std::stoi(last) + 1, 4);
+    connection.send(http1::LastChunk);
+}
+
+/** Pools of engines whose first decode engine begins a stream and breaks off when told to. */
+class VersionFixture : public GatewayFixture {
+public:
+    /** Starts the gateways with a prefill engine and a decode engine of version v1. */
+    void startWithFirstEngine(size_t gateways)
+    {
+        addRoute("/s/", { "streaming", "llm", 5000, 3, true, true });
+        declare(1);
+        addTarget("reader", "llm", prefillPrompt, "prefill");
+        addTarget(
+            "first-v1", "llm",
+            [this](const FakeRequest& request, FakeConnection& connection) {
+                if (hasBegun.exchange(true)) {
+                    streamToEnd(request, connection);
+                    return;
+                }
+                sendEvents(request, connection, 1, 2);
+                waitUntil([this] { return mayBreak.load() || isEnding.load(); });
+                connection.reset();
+            },
+            "decode", "v1");
+        start(gateways);
+        for (size_t gateway = 0; gateway < gateways; ++gateway)
+            waitUntil([&] { return readiness(gateway) == 200; });
+    }
+
+    /** Adds a decode engine and waits until the gateways know it. */
+    void addDecodeEngine(const std::string& id, const std::string& version)
+    {
+        addTarget(id, "llm", streamToEnd, "decode", version);
+        // The coalescing time of the gateways' store feeds, and some more.
+        constexpr Milliseconds SettleTime { 600 };
+        std::this_thread::sleep_for(SettleTime);
+    }
+
+    ~VersionFixture() { isEnding = true; }
+
+    std::atomic<bool> hasBegun { false };
+    std::atomic<bool> mayBreak { false };
+    std::atomic<bool> isEnding { false };
+};
+
+/** Begins a stream and receives its first two events. @return the bytes. */
+std::string beginStream(Caller& caller, const std::string& attempt)
+{
+    caller.send(requestText("POST", "/s/x", attempt, PromptLines));
+    return caller.receiveUntil(eventText(2) + "\r\n");
+}
+
+std::string eventsText(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+        text += eventText(id);
+    return text;
+}
+
+std::string resumeText(const std::string& attempt, const std::string& first)
+{
+    return requestText(
+        "POST", "/s/x", attempt, PromptLines + "Last-Event-Id: 2\r\nResumes: " + first + "\r\n");
+}
+
+} // namespace
+
+// Guards against events of two software versions in one response after an engine is lost.
+Test(versions, a_stream_whose_engine_is_lost_goes_on_at_the_version_that_began_it)
+{
+    VersionFixture fixture;
+    fixture.startWithFirstEngine(1);
+    Caller caller(fixture.callers());
+    std::string bytes = beginStream(caller, "a1");
+    fixture.addDecodeEngine("another-v2", "v2");
+    fixture.addDecodeEngine("second-v1", "v1");
+    fixture.mayBreak = true;
+    bytes += caller.receiveUntil(http1::LastChunk);
+    cr_assert(parseResponse(bytes).body == eventsText(1, 4));
+    cr_assert_eq(fixture.seenBy("another-v2"), 0U);
+    cr_assert_eq(fixture.seenBy("second-v1"), 1U);
+}
+
+// Guards against the same when no engine of the first version is left.
+Test(versions, a_stream_breaks_visibly_when_its_version_is_gone)
+{
+    VersionFixture fixture;
+    fixture.startWithFirstEngine(1);
+    Caller caller(fixture.callers());
+    caller.send(requestText("POST", "/s/x", "a1", PromptLines));
+    GatewayFixture::waitUntil([&] { return fixture.hasBegun.load(); });
+    fixture.addDecodeEngine("another-v2", "v2");
+    fixture.mayBreak = true;
+    const CallerResponse response = caller.receive();
+    cr_assert_not(response.isComplete);
+    cr_assert(response.body == eventsText(1, 2));
+    cr_assert_eq(fixture.seenBy("another-v2"), 0U);
+}
+
+// Guards against events of two software versions over a caller's tries at two gateways.
+Test(versions, a_caller_that_resumes_at_another_gateway_stays_at_the_version)
+{
+    VersionFixture fixture;
+    fixture.startWithFirstEngine(3);
+    Caller caller(fixture.callers(0));
+    beginStream(caller, "a1");
+    fixture.addDecodeEngine("another-v2", "v2");
+    fixture.killGateway(0);
+    for (const size_t gateway : { 1, 2 }) {
+        Caller resuming(fixture.callers(gateway));
+        resuming.send(resumeText("a2-" + std::to_string(gateway), "a1"));
+        const CallerResponse response = resuming.receive();
+        cr_assert_eq(response.status, 200U);
+        cr_assert(response.isComplete && response.body == eventsText(3, 4));
+    }
+    cr_assert_eq(fixture.seenBy("another-v2"), 0U);
+    cr_assert_eq(fixture.seenBy("first-v1"), 3U);
+}
+
+// Guards against a guess: what no gateway knows may have begun at any version.
+Test(versions, a_caller_that_resumes_an_unknown_stream_is_refused_while_two_versions_serve)
+{
+    VersionFixture fixture;
+    fixture.startWithFirstEngine(2);
+    fixture.addDecodeEngine("another-v2", "v2");
+    Caller caller(fixture.callers(0));
+    caller.send(resumeText("a2", "never-seen"));
+    const CallerResponse response = caller.receive();
+    cr_assert_eq(response.status, 503U);
+    cr_assert(response.headers.find("Retry-After").has_value());
+    cr_assert_eq(fixture.seenBy("another-v2") + fixture.seenBy("first-v1"), 0U);
+}
--- a/fakes/fleet/FakeDocuments.cpp
+++ b/fakes/fleet/FakeDocuments.cpp
@@ -27,13 +27,14 @@
     }.dump();
 }
 
-std::string entryText(const std::string& service, const std::string& address,
-    const std::string& role, const std::string& state)
+std::string entryText(const EntryOptions& options)
 {
-    Json entry { { "service", service }, { "address", address }, { "zone", "zone-a" },
-        { "slots", 4 }, { "state", state }, { "seq", 1 } };
-    if (!role.empty())
-        entry["phase"] = role;
+    Json entry { { "service", options.service }, { "address", options.address },
+        { "zone", "zone-a" }, { "slots", 4 }, { "state", options.state }, { "seq", 1 } };
+    if (!options.role.empty())
+        entry["phase"] = options.role;
+    if (!options.version.empty())
+        entry["version"] = options.version;
     return entry.dump();
 }
 
--- a/fakes/fleet/FakeDocuments.h
+++ b/fakes/fleet/FakeDocuments.h
@@ -26,11 +26,19 @@
  */
 std::string declarationText(int version, const nlohmann::json& routes);
 
-/**
- * @param role empty for an application.
- * @return a target record in the JSON form that targets write.
- */
-std::string entryText(const std::string& service, const std::string& address,
-    const std::string& role, const std::string& state = "ready");
+/** The fields of a fake target record that tests vary. */
+struct EntryOptions {
+    std::string service = "app";
+    /** "IP:PORT". */
+    std::string address;
+    /** Empty for an application. */
+    std::string role;
+    std::string state = "ready";
+    /** Of the target's software; empty leaves the field out. */
+    std::string version = "v1";
+};
+
+/** @return a target record in the JSON form that targets write. */
+std::string entryText(const EntryOptions& options);
 
 } // namespace citronspoke::fakes
--- a/tests/soak/SoakTarget.cpp
+++ b/tests/soak/SoakTarget.cpp
@@ -103,7 +103,7 @@
     std::lock_guard lock(m_mutex);
     const std::string role = m_role ? std::string(toText(*m_role)) : "";
     m_context.store.put("servers/" + m_id,
-        fakes::entryText(m_pool, m_published, role, m_drainStartedAt ? "draining" : "ready"));
+        fakes::entryText({ m_pool, m_published, role, m_drainStartedAt ? "draining" : "ready" }));
 }
 
 void SoakTarget::startDraining()
