A stream whose engine is lost goes on only at the version that began it

Cause: the rest of a stream was sent to the decode engine with least work, whatever its version; the version in the targets' records was not decoded. Change: once a response has begun, only targets of the version that began it are candidates; when there is none, the response breaks off at once, before the retry budget or a prefill is spent. A target whose record states no version is no candidate for the rest of any stream.

--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -5,6 +5,8 @@
 #include "Statuses.h"
 #include "telemetry/Telemetry.h"
 
+#include <algorithm>
+
 namespace citronspoke::gateway {
 
 namespace {
@@ -132,9 +134,38 @@
         fail("no other usable target");
 }
 
+void RequestHandler::keepStreamVersion(TargetStates& states) const
+{
+    if (!m_streamVersion)
+        return;
+    // The events that two versions write do not fit together, and targets do not check this.
+    std::erase_if(states, [this](const dispatch::TargetState* state) {
+        return m_streamVersion->empty() || state->record.version != *m_streamVersion;
+    });
+}
+
+RequestHandler::TargetStates RequestHandler::decodeEngines() const
+{
+    TargetStates states = m_context.enginesInRole(m_pool->id, EngineRole::Decode);
+    keepStreamVersion(states);
+    return states;
+}
+
+bool RequestHandler::hasTargetToGoOn() const
+{
+    if (m_pool->engine)
+        return !decodeEngines().empty();
+    TargetStates states = m_context.directory.usable(m_pool->id, steadyNow());
+    keepStreamVersion(states);
+    return std::any_of(states.begin(), states.end(), [this](const dispatch::TargetState* state) {
+        return !m_excludedTargets.contains(state->record.id);
+    });
+}
+
 bool RequestHandler::sendWhole()
 {
     TargetStates states = m_context.directory.usable(m_pool->id, steadyNow());
+    keepStreamVersion(states);
     // A prefill engine runs no whole requests.
     std::erase_if(states, [](const dispatch::TargetState* state) {
         return state->record.role == EngineRole::Prefill;
@@ -154,10 +185,10 @@
 
 bool RequestHandler::sendPrefill()
 {
-    const TargetStates decodeEngines = m_context.enginesInRole(m_pool->id, EngineRole::Decode);
-    if (decodeEngines.empty())
+    const TargetStates decoding = decodeEngines();
+    if (decoding.empty())
         return false;
-    if (!bookDecodeTurn(decodeEngines))
+    if (!bookDecodeTurn(decoding))
         return true;
     const TargetStates states = m_context.enginesInRole(m_pool->id, EngineRole::Prefill);
     const TargetStates cachingEngines = m_context.directory.allInPool(m_pool->id, steadyNow());
@@ -190,7 +221,7 @@
 
 bool RequestHandler::sendDecode()
 {
-    const TargetStates states = m_context.enginesInRole(m_pool->id, EngineRole::Decode);
+    const TargetStates states = decodeEngines();
     dispatch::TargetState* state
         = dispatch::chooseDecodeEngine(readyTargets(states), m_excludedTargets,
             m_prefilledPrompt->prefillEngine.zone, m_callerInfo.prompt->tokens, steadyNow());
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -105,6 +105,12 @@
     void send(Step step, const fleet::TargetRecord& target, const dispatch::Load& load,
         adapter::TargetRequestFields fields);
 
+    /** Removes the targets whose version is not the one that began the stream, if it has begun. */
+    void keepStreamVersion(TargetStates& states) const;
+    /** @return the engines that decode, as far as the request may go there. */
+    TargetStates decodeEngines() const;
+    /** @return whether a target is left at which a stream that has begun can go on. */
+    bool hasTargetToGoOn() const;
     /** @return the targets that take a request now; for a booked turn that has come, its target. */
     TargetStates readyTargets(const TargetStates& states);
     /** @return the earliest turn at a target that is not excluded; it is not booked. */
@@ -199,8 +205,8 @@
     /** Forwarded to the caller when no other target serves the request. */
     std::optional<TargetFailure> m_targetFailure;
     std::optional<uint64_t> m_lastEventId;
-    /** Of the target that began the stream; empty while that is not known. */
-    SoftwareVersion m_streamVersion;
+    /** Of the target that began the stream, once it has begun; empty when it is not known. */
+    std::optional<SoftwareVersion> m_streamVersion;
     bool m_hasBegunResponse = false;
     bool m_isOver = false;
 };
--- a/apps/gateway/RequestHandlerOutcomes.cpp
+++ b/apps/gateway/RequestHandlerOutcomes.cpp
@@ -66,6 +66,8 @@
         retryBlocker = "the request is quarantined: it crashed its targets";
     else if (m_ranOn.size() >= m_route->maxTargets)
         retryBlocker = "the route's limit of targets is reached";
+    else if (m_hasBegunResponse && !hasTargetToGoOn())
+        retryBlocker = "no other target has the version that began the stream";
     else if (timeLeft() < MinAttemptTime)
         retryBlocker = "too little time left";
     else if (sends > 0 && !m_context.retryBudget.trySpend(m_pool->id, sends, steadyNow()))
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -66,8 +66,8 @@
     if (!m_hasBegunResponse && !m_lastEventId)
         return;
     std::string relation = "unknown";
-    if (!m_streamVersion.empty())
-        relation = m_streamVersion == m_attempt->target.version ? "same" : "other";
+    if (m_streamVersion && !m_streamVersion->empty())
+        relation = *m_streamVersion == m_attempt->target.version ? "same" : "other";
     telemetry::count("streams_resumed",
         { { "by", m_hasBegunResponse ? "gateway" : "caller" }, { "version", relation } });
 }
--- a/apps/gateway/RequestHandlerTurns.cpp
+++ b/apps/gateway/RequestHandlerTurns.cpp
@@ -151,7 +151,9 @@
         return Milliseconds(0);
     const SteadyTime now = steadyNow();
     std::optional<SteadyTime> earliest;
-    for (const dispatch::TargetState* state : m_context.directory.usable(m_pool->id, now)) {
+    TargetStates states = m_context.directory.usable(m_pool->id, now);
+    keepStreamVersion(states);
+    for (const dispatch::TargetState* state : states) {
         const std::optional<SteadyTime> since
             = m_context.reportedRoles.changingSince(state->record, now);
         if (!since
--- a/apps/gateway/tests/VersionTests.cpp
+++ b/apps/gateway/tests/VersionTests.cpp
@@ -42,12 +42,13 @@
         addTarget(
             "first-v1", "llm",
             [this](const FakeRequest& request, FakeConnection& connection) {
-                if (hasBegun.exchange(true)) {
+                if (hasBegun.exchange(true) && !isLost) {
                     streamToEnd(request, connection);
                     return;
                 }
-                sendEvents(request, connection, 1, 2);
-                waitUntil([this] { return mayBreak.load() || isEnding.load(); });
+                if (!isLost)
+                    sendEvents(request, connection, 1, 2);
+                waitUntil([this] { return isLost.load() || isEnding.load(); });
                 connection.reset();
             },
             "decode", "v1");
@@ -68,7 +69,8 @@
     ~VersionFixture() { isEnding = true; }
 
     std::atomic<bool> hasBegun { false };
-    std::atomic<bool> mayBreak { false };
+    /** The first engine resets its connections from now on. */
+    std::atomic<bool> isLost { false };
     std::atomic<bool> isEnding { false };
 };
 
@@ -104,7 +106,7 @@
     std::string bytes = beginStream(caller, "a1");
     fixture.addDecodeEngine("another-v2", "v2");
     fixture.addDecodeEngine("second-v1", "v1");
-    fixture.mayBreak = true;
+    fixture.isLost = true;
     bytes += caller.receiveUntil(http1::LastChunk);
     cr_assert(parseResponse(bytes).body == eventsText(1, 4));
     cr_assert_eq(fixture.seenBy("another-v2"), 0U);
@@ -120,7 +122,7 @@
     caller.send(requestText("POST", "/s/x", "a1", PromptLines));
     GatewayFixture::waitUntil([&] { return fixture.hasBegun.load(); });
     fixture.addDecodeEngine("another-v2", "v2");
-    fixture.mayBreak = true;
+    fixture.isLost = true;
     const CallerResponse response = caller.receive();
     cr_assert_not(response.isComplete);
     cr_assert(response.body == eventsText(1, 2));
