A stream that its caller resumes goes on only at the version that began it

Cause: which version began a stream was known to the gateway that relayed it, and to nobody else; Resumes was not decoded. The class: what only the first gateway of a request knows, and another one needs when that one is gone. Without a record the stream goes on only when no gateway that replies has seen another version while it may have begun; else it is refused at once. The versions that have served lately are kept in the store for gateways that start anew.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -56,6 +56,8 @@
               } })
     , m_peers(m_context, m_storePool, fleet::requireAddress(settings.store),
           fleet::requireAddress(settings.operatorAddress))
+    , m_versions(m_context, m_peers, m_storePool, fleet::requireAddress(settings.store))
+    , m_streams(m_context, m_peers, m_versions, fleet::requireAddress(settings.operatorAddress))
     , m_roles(m_context, m_peers)
     , m_cacheInventory(m_context)
     , m_listener(std::make_unique<channels::Listener>(loop, fleet::requireAddress(settings.callers),
@@ -70,6 +72,7 @@
     , m_stopGrace(settings.stopGrace)
 {
     m_context.peers = &m_peers;
+    m_context.streams = &m_streams;
     m_context.declarationAge = [this] {
         const std::optional<SteadyTime> last = m_storeFeed.lastResponse();
         const SteadyTime::duration age = last ? steadyNow() - *last : std::chrono::hours(1);
@@ -81,6 +84,7 @@
 {
     m_storeFeed.start();
     m_peers.start();
+    m_versions.start();
     m_roles.start();
 }
 
@@ -88,6 +92,7 @@
 {
     std::vector<adapter::StoreItem> targets;
     std::vector<adapter::StoreItem> announcements;
+    std::vector<adapter::StoreItem> versions;
     for (const adapter::StoreItem& item : items) {
         if (item.key == adapter::DeclarationKey)
             onDeclaration(item);
@@ -95,9 +100,12 @@
             targets.push_back(item);
         else if (item.key.starts_with(storefeed::GatewayPrefix))
             announcements.push_back(item);
+        else if (item.key.starts_with(storefeed::VersionPrefix))
+            versions.push_back(item);
     }
     onTargets(targets, mayReturnUntil);
     m_peers.onAnnouncements(announcements);
+    m_versions.onRecords(versions);
 }
 
 void Gateway::onStoreChange(const adapter::KeyChange& change, SteadyTime mayReturnUntil)
@@ -107,6 +115,8 @@
         onTargetChange(change, mayReturnUntil);
     } else if (key.starts_with(storefeed::GatewayPrefix)) {
         m_peers.onAnnouncementChange(change);
+    } else if (key.starts_with(storefeed::VersionPrefix)) {
+        m_versions.onRecordChange(change);
     } else if (const adapter::KeyWritten* written = std::get_if<adapter::KeyWritten>(&change)) {
         onDeclaration(written->item);
     }
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -4,6 +4,7 @@
 #include "CallerConnection.h"
 #include "PeerGroup.h"
 #include "RoleCoordinator.h"
+#include "StreamRegistry.h"
 
 namespace citronspoke::gateway {
 
@@ -47,6 +48,8 @@
     /** Follows all keys: a watch for each kind of key would cost as many calls each. */
     storefeed::StoreFeed m_storeFeed;
     PeerGroup m_peers;
+    VersionRecords m_versions;
+    StreamRegistry m_streams;
     RoleCoordinator m_roles;
     CacheInventory m_cacheInventory;
     std::unique_ptr<channels::Listener> m_listener;
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -12,6 +12,7 @@
 namespace citronspoke::gateway {
 
 class PeerGroup;
+class StreamRegistry;
 
 /** State that all requests of a gateway share. Used by the event loop's thread only. */
 struct GatewayContext {
@@ -40,6 +41,8 @@
     bool isStopping = false;
     /** The other gateways; null until reports can be sent to them. */
     PeerGroup* peers = nullptr;
+    /** Null until the gateway is constructed. */
+    StreamRegistry* streams = nullptr;
 
     /** Work at a target begins or ends; the new load is published to the other gateways. */
     void noteStarted(const TargetId& target, const dispatch::Load& load);
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -1,5 +1,6 @@
 #include "PeerGroup.h"
 
+#include "StreamRegistry.h"
 #include "telemetry/Telemetry.h"
 
 namespace citronspoke::gateway {
@@ -140,7 +141,9 @@
 
 void PeerGroup::updateGateways()
 {
-    m_context.pacer.updateGateways(gateways(), steadyNow());
+    const std::vector<EntryId> all = gateways();
+    m_context.pacer.updateGateways(all, steadyNow());
+    m_context.streams->updateGateways(all);
     if (m_peers.size() != m_loggedGatewayCounts.first)
         updateGatewayCount();
 }
@@ -317,13 +320,37 @@
             roles::RoleRequest { m_id, m_ownAddress, change, static_cast<uint32_t>(planners) }));
 }
 
+void PeerGroup::send(const EntryId& gateway, std::string_view datagram)
+{
+    const auto found = m_peers.find(gateway);
+    if (found != m_peers.end())
+        send(found->second, datagram);
+}
+
+void PeerGroup::send(const fleet::Address& gateway, std::string_view datagram)
+{
+    m_port.send(gateway, datagram);
+}
+
+/** Passes each kind of message to the part that handles it. */
+struct PeerGroup::MessageHandler {
+    PeerGroup& group;
+    StreamRegistry& streams;
+
+    void operator()(const peers::Update& update) const
+    {
+        if (update.sender != group.m_id && group.m_staleUpdateFilter.accept(update))
+            group.onUpdate(update, steadyNow());
+    }
+    void operator()(const streams::OriginNote& note) const { streams.onNote(note); }
+    void operator()(const streams::OriginQuery& query) const { streams.onQuery(query); }
+    void operator()(const streams::OriginReply& reply) const { streams.onReply(reply); }
+};
+
 void PeerGroup::onDatagram(std::string_view datagram)
 {
     try {
-        const peers::Update update = peers::decode(datagram);
-        if (update.sender == m_id || !m_staleUpdateFilter.accept(update))
-            return;
-        onUpdate(update, steadyNow());
+        std::visit(MessageHandler { *this, *m_context.streams }, peers::decodeMessage(datagram));
     } catch (const peers::UpdateUnreadable& unreadable) {
         telemetry::logWarning("peers", unreadable.describe());
     }
--- a/apps/gateway/PeerGroup.h
+++ b/apps/gateway/PeerGroup.h
@@ -41,8 +41,12 @@
     void requestRole(
         const fleet::Address& sidecar, const roles::RoleChange& change, size_t planners);
     const EntryId& id() const noexcept { return m_id; }
+    /** Sends a datagram to one gateway; does nothing when it is not announced. */
+    void send(const EntryId& gateway, std::string_view datagram);
+    void send(const fleet::Address& gateway, std::string_view datagram);
 
 private:
+    struct MessageHandler;
     /** What a peer last reported of its demand. */
     struct PeerDemand {
         std::map<PoolId, roles::Demand> byPool;
--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -3,6 +3,7 @@
 #include "Durations.h"
 #include "PeerGroup.h"
 #include "Statuses.h"
+#include "StreamRegistry.h"
 #include "telemetry/Telemetry.h"
 
 #include <algorithm>
@@ -85,7 +86,29 @@
         if (const std::shared_ptr<RequestHandler> self = weak.lock())
             self->onDeadline();
     });
-    sendNext();
+    if (m_lastEventId)
+        resumeStream();
+    else
+        sendNext();
+}
+
+void RequestHandler::resumeStream()
+{
+    const std::weak_ptr<RequestHandler> weak = weak_from_this();
+    m_originSearch = m_context.streams->findOrigin(
+        { m_callerInfo.attempt, m_callerInfo.resumedAttempt, m_pool->id },
+        [weak](const streams::Origin& origin) {
+            const std::shared_ptr<RequestHandler> self = weak.lock();
+            if (!self || self->m_isOver)
+                return;
+            if (origin.basis == streams::Origin::Basis::Unknown) {
+                self->refuse(Unavailable, "it is not known at which version the stream began",
+                    std::min(NoTargetRetryAfter, self->timeLeft() / RetryAfterDivisor));
+                return;
+            }
+            self->m_streamVersion = origin.version;
+            self->sendNext();
+        });
 }
 
 bool RequestHandler::findRoute()
@@ -128,7 +151,9 @@
     if (isTakenCareOf)
         return;
     if (m_ranOn.empty())
-        refuse(Unavailable, "no usable target",
+        refuse(Unavailable,
+            m_streamVersion ? "no usable target has the version that began the stream"
+                            : "no usable target",
             std::min(NoTargetRetryAfter, timeLeft() / RetryAfterDivisor));
     else
         fail("no other usable target");
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -97,6 +97,8 @@
     using TargetStates = std::vector<dispatch::TargetState*>;
 
     bool findRoute();
+    /** Sends a stream that the caller resumes once it is known at which version it began. */
+    void resumeStream();
     void sendNext();
     // Each returns whether the request is taken care of: sent, waiting for its turn or refused.
     bool sendWhole();
@@ -207,6 +209,7 @@
     std::optional<uint64_t> m_lastEventId;
     /** Of the target that began the stream, once it has begun; empty when it is not known. */
     std::optional<SoftwareVersion> m_streamVersion;
+    std::shared_ptr<void> m_originSearch;
     bool m_hasBegunResponse = false;
     bool m_isOver = false;
 };
--- a/apps/gateway/RequestHandlerOutcomes.cpp
+++ b/apps/gateway/RequestHandlerOutcomes.cpp
@@ -125,6 +125,7 @@
     m_isOver = true;
     m_deadlineTimer.cancel();
     m_turnTimer.cancel();
+    m_originSearch.reset();
     cancelTurn(m_turn);
     cancelTurn(m_decodeTurn);
     std::string step;
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -3,6 +3,7 @@
 
 #include "Durations.h"
 #include "PeerGroup.h"
+#include "StreamRegistry.h"
 #include "telemetry/Telemetry.h"
 
 #include <algorithm>
@@ -57,7 +58,11 @@
     if (m_hasBegunResponse)
         return;
     m_hasBegunResponse = true;
-    m_streamVersion = m_attempt->target.version;
+    if (!m_streamVersion) {
+        m_streamVersion = m_attempt->target.version;
+        if (m_route->isResumable)
+            m_context.streams->noteBegun(m_callerInfo.attempt, *m_streamVersion);
+    }
     m_writer->beginBody(head.status, head.reason, adapter::responseHeadersForCaller(head));
 }
 
--- /dev/null
+++ b/apps/gateway/VersionRecords.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "GatewayContext.h"
+#include "streams/Streams.h"
+
+namespace citronspoke::gateway {
+
+/**
+ * Follows which software versions the targets of each pool have, and keeps in the store which of
+ * them callers may still come back to, so that a gateway that starts anew knows versions that have
+ * left. One gateway writes the record of a pool; the next ones do so later if it does not. Used by
+ * the event loop's thread only.
+ */
+class VersionRecords {
+public:
+    VersionRecords(GatewayContext& context, PeerGroup& peers, channels::ConnectionPool& storePool,
+        const fleet::Address& store);
+
+    void start();
+    /** The store's records were read as a whole; pools without an item have no record. */
+    void onRecords(std::span<const adapter::StoreItem> items);
+    void onRecordChange(const adapter::KeyChange& change);
+
+    /** @return the versions to whose streams callers may come back. */
+    streams::VersionView viewOf(const PoolId& pool);
+    /** @return how long callers may come back to a stream. */
+    Milliseconds window() const;
+
+private:
+    /** The record of a pool in the store. */
+    struct Record {
+        std::set<SoftwareVersion> versions;
+        adapter::StoreRevision revision;
+    };
+
+    void followTargets();
+    void updateRecords();
+    std::set<PoolId> poolsOfResumableStreams() const;
+    /** @return what the record of a pool should name. */
+    std::set<SoftwareVersion> versionsToRecord(const PoolId& pool);
+    /** @return whether it is this gateway's turn to write a record that should have changed. */
+    bool isOwnTurn(const PoolId& pool, SteadyTime staleSince) const;
+    void write(const PoolId& pool, const std::set<SoftwareVersion>& versions);
+
+    GatewayContext& m_context;
+    PeerGroup& m_peers;
+    channels::ConnectionPool& m_storePool;
+    fleet::Address m_store;
+    std::map<PoolId, streams::VersionHistory> m_histories;
+    std::map<PoolId, Record> m_records;
+    /** Since when records differ from what they should be. */
+    std::map<PoolId, SteadyTime> m_staleSince;
+    bool m_hasReadRecords = false;
+    std::shared_ptr<void> m_call;
+    channels::Timer m_timer;
+};
+
+} // namespace citronspoke::gateway
--- a/apps/gateway/tests/VersionTests.cpp
+++ b/apps/gateway/tests/VersionTests.cpp
@@ -162,3 +162,48 @@
     cr_assert(response.headers.find("Retry-After").has_value());
     cr_assert_eq(fixture.seenBy("another-v2") + fixture.seenBy("first-v1"), 0U);
 }
+
+// Guards against a gateway that starts after a version has left and takes the other for the only
+// one.
+Test(versions, a_gateway_that_starts_anew_knows_the_versions_that_have_left)
+{
+    VersionFixture fixture;
+    fixture.store().put("citronspoke/versions/llm", "v0\nv1\n");
+    fixture.startWithFirstEngine(1);
+    Caller caller(fixture.callers(0));
+    caller.send(resumeText("a2", "never-seen"));
+    cr_assert_eq(caller.receive().status, 503U);
+    cr_assert_eq(fixture.seenBy("first-v1"), 0U);
+}
+
+Test(versions, are_recorded_in_the_store_once_targets_have_them)
+{
+    VersionFixture fixture;
+    fixture.startWithFirstEngine(2);
+    const auto recorded = [&fixture](const std::string& versions) {
+        const std::map<std::string, std::string> contents = fixture.store().contents();
+        const auto found = contents.find("citronspoke/versions/llm");
+        return found != contents.end() && found->second == versions;
+    };
+    GatewayFixture::waitUntil([&] { return recorded("v1\n"); });
+    fixture.addDecodeEngine("another-v2", "v2");
+    GatewayFixture::waitUntil([&] { return recorded("v1\nv2\n"); });
+    fixture.store().remove("servers/another-v2");
+    // Callers may still come back to a stream of that version.
+    std::this_thread::sleep_for(Milliseconds(1200));
+    cr_assert(recorded("v1\nv2\n"));
+}
+
+// Guards against a resume that is refused for its version although there is only one.
+Test(versions, a_stream_that_is_unknown_goes_on_when_there_is_only_one_version)
+{
+    VersionFixture fixture;
+    fixture.startWithFirstEngine(2);
+    fixture.hasBegun = true;
+    for (const std::string first : { "Resumes: never-seen\r\n", "" }) {
+        Caller caller(fixture.callers(0));
+        caller.send(requestText("POST", "/s/x", "a" + std::to_string(first.size()),
+            PromptLines + "Last-Event-Id: 2\r\n" + first));
+        cr_assert(caller.receive().body == eventsText(3, 4));
+    }
+}
--- a/fakes/fleet/FakeFleetStore.cpp
+++ b/fakes/fleet/FakeFleetStore.cpp
@@ -200,6 +200,7 @@
 void FakeFleetStore::handleWrite(const FakeRequest& request, FakeConnection& connection)
 {
     constexpr uint32_t NoSuchLease = 404;
+    constexpr uint32_t PreconditionFailed = 412;
     const Json body = Json::parse(request.body);
     std::unique_lock lock(m_mutex);
     for (const Json& put : body["puts"]) {
@@ -209,6 +210,14 @@
             return;
         }
     }
+    for (const Json& row : body["precondition"]) {
+        const auto item = m_items.find(row["key"].get<std::string>());
+        const int64_t revision = item == m_items.end() ? 0 : item->second.revision;
+        if (row["revision"].get<int64_t>() != revision) {
+            respondJson(connection, PreconditionFailed, R"({"items":[]})");
+            return;
+        }
+    }
     for (const Json& put : body["puts"])
         apply(put["key"], fromBase64(put["value"]), put.value("lease", 0));
     const Json response { { "revision", m_revision } };
--- a/libs/model/include/model/Model.h
+++ b/libs/model/include/model/Model.h
@@ -4,6 +4,8 @@
 
 #include <compare>
 #include <cstdint>
+#include <span>
+#include <vector>
 
 /** Identifiers, units and enumerations that all parts of citronspoke share. */
 namespace citronspoke {
@@ -138,6 +140,15 @@
  */
 uint64_t rendezvousRank(std::string_view candidate, std::string_view key);
 
+/**
+ * @param candidates in any order, each once.
+ * @param count most candidates to return.
+ * @return the candidates with the lowest ranks for a key, the lowest first; all processes that know
+ *         the same candidates find the same ones without communication.
+ */
+std::vector<EntryId> firstByRendezvousRank(
+    std::span<const EntryId> candidates, std::string_view key, size_t count);
+
 /**
  * @return @p base changed at random by up to 25 % in either direction, so that periodic work of
  * several processes does not coincide.
--- a/libs/model/src/Model.cpp
+++ b/libs/model/src/Model.cpp
@@ -1,5 +1,6 @@
 #include "model/Model.h"
 
+#include <algorithm>
 #include <array>
 #include <random>
 
@@ -105,6 +106,21 @@
     return rank ^ (rank >> HalfBits);
 }
 
+std::vector<EntryId> firstByRendezvousRank(
+    std::span<const EntryId> candidates, std::string_view key, size_t count)
+{
+    std::vector<std::pair<uint64_t, EntryId>> ranked;
+    ranked.reserve(candidates.size());
+    for (const EntryId& candidate : candidates)
+        ranked.emplace_back(rendezvousRank(candidate.text(), key), candidate);
+    const auto end = ranked.begin() + static_cast<ptrdiff_t>(std::min(count, ranked.size()));
+    std::partial_sort(ranked.begin(), end, ranked.end());
+    std::vector<EntryId> first;
+    for (auto candidate = ranked.begin(); candidate != end; ++candidate)
+        first.push_back(candidate->second);
+    return first;
+}
+
 Milliseconds jittered(Milliseconds base)
 {
     std::uniform_real_distribution<double> factor(0.75, 1.25);
--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -3,12 +3,15 @@
 #include "conditions/Conditions.h"
 #include "dispatch/Dispatch.h"
 #include "roles/Roles.h"
+#include "streams/Streams.h"
+
+#include <variant>
 
 /**
  * Datagrams between the processes of the system. Gateways exchange updates: work in flight, cached
  * prompt parts, crash reports, lost and replaced targets, request limits that targets state, roles
  * and the demand for them. They request role changes from sidecars, which report roles in updates
- * of their own.
+ * of their own. The origins of streams are sent to single gateways, in messages of their own.
  */
 namespace citronspoke::peers {
 
@@ -72,6 +75,17 @@
 /** @throws UpdateUnreadable when the datagram is not an encoded update. */
 Update decode(std::string_view datagram);
 
+/** What a gateway may receive from another process. */
+using Message
+    = std::variant<Update, streams::OriginNote, streams::OriginQuery, streams::OriginReply>;
+/** @throws UpdateUnreadable when the datagram is not an encoded message. */
+Message decodeMessage(std::string_view datagram);
+
+/** @return the message as a MessagePack array. */
+std::string encode(const streams::OriginNote& note);
+std::string encode(const streams::OriginQuery& query);
+std::string encode(const streams::OriginReply& reply);
+
 /** @return the request as a MessagePack array. */
 std::string encode(const roles::RoleRequest& request);
 /** @throws UpdateUnreadable when the datagram is not an encoded request. */
--- a/libs/peers/src/Codec.cpp
+++ b/libs/peers/src/Codec.cpp
@@ -1,7 +1,6 @@
+#include "Pack.h"
 #include "peers/Peers.h"
 
-#include <msgpack.hpp>
-
 namespace citronspoke::peers {
 
 namespace {
@@ -38,13 +37,6 @@
         return list;
     }
 
-    template <typename Tuple> std::string pack(const Tuple& tuple)
-    {
-        msgpack::sbuffer buffer;
-        msgpack::pack(buffer, tuple);
-        return std::string(buffer.data(), buffer.size());
-    }
-
 } // namespace
 
 std::string encode(const Update& update)
--- a/libs/peers/tests/PeersTests.cpp
+++ b/libs/peers/tests/PeersTests.cpp
@@ -143,3 +143,44 @@
         cr_expect(isRejected);
     }
 }
+
+Test(origin_messages, survive_encoding_and_are_told_from_updates)
+{
+    const Message note
+        = decodeMessage(encode(streams::OriginNote { RequestId("a1"), SoftwareVersion("v1") }));
+    cr_assert(std::get<streams::OriginNote>(note).attempt == RequestId("a1"));
+    cr_assert(std::get<streams::OriginNote>(note).version == SoftwareVersion("v1"));
+    const Message query = decodeMessage(encode(
+        streams::OriginQuery { 300, RequestId("a1"), PoolId("llm"), { "127.0.0.1", 9000 } }));
+    cr_assert_eq(std::get<streams::OriginQuery>(query).number, 300U);
+    cr_assert(std::get<streams::OriginQuery>(query).pool == PoolId("llm"));
+    cr_assert_eq(std::get<streams::OriginQuery>(query).replyTo.port, 9000);
+    streams::OriginReply reply { 300, EntryId("g"), SoftwareVersion("v2"), {} };
+    reply.view = { { SoftwareVersion("v1"), SoftwareVersion("v2") }, true, false };
+    const Message received = decodeMessage(encode(reply));
+    const streams::OriginReply& decoded = std::get<streams::OriginReply>(received);
+    cr_assert(decoded.number == 300 && decoded.gateway == EntryId("g"));
+    cr_assert(decoded.origin == SoftwareVersion("v2"));
+    cr_assert(decoded.view.versions == reply.view.versions);
+    cr_assert(decoded.view.coversWindow && !decoded.view.isCurrent);
+    Outbox outbox;
+    outbox.addCleared(1);
+    const std::string update = outbox.takeDatagrams(EntryId("g"), UnixMillis(5)).front();
+    cr_assert(std::holds_alternative<Update>(decodeMessage(update)));
+}
+
+Test(origin_messages, that_are_malformed_are_rejected)
+{
+    const std::string query
+        = encode(streams::OriginQuery { 7, RequestId("a1"), PoolId("llm"), { "127.0.0.1", 9000 } });
+    for (const std::string& malformed : { std::string(), std::string("\x91\x09", 2),
+             std::string("\x91\x01", 2), query.substr(0, query.size() - 1), query.substr(0, 3) }) {
+        bool isRejected = false;
+        try {
+            decodeMessage(malformed);
+        } catch (const UpdateUnreadable&) {
+            isRejected = true;
+        }
+        cr_expect(isRejected);
+    }
+}
--- a/libs/roles/src/RoleRequests.cpp
+++ b/libs/roles/src/RoleRequests.cpp
@@ -17,15 +17,7 @@
 
 std::vector<EntryId> plannersOf(const TargetId& engine, std::span<const EntryId> gateways)
 {
-    std::vector<std::pair<uint64_t, EntryId>> ranked;
-    ranked.reserve(gateways.size());
-    for (const EntryId& gateway : gateways)
-        ranked.emplace_back(rendezvousRank(gateway.text(), engine.text()), gateway);
-    std::sort(ranked.begin(), ranked.end());
-    std::vector<EntryId> planners;
-    for (size_t index = 0; index < std::min(ranked.size(), MaxPlanners); ++index)
-        planners.push_back(ranked[index].second);
-    return planners;
+    return firstByRendezvousRank(gateways, engine.text(), MaxPlanners);
 }
 
 void RequestQuorum::add(const RoleRequest& request, SteadyTime now)
--- a/libs/storefeed/include/storefeed/StoreFeed.h
+++ b/libs/storefeed/include/storefeed/StoreFeed.h
@@ -8,6 +8,8 @@
 
 /** Key prefix under which each gateway registers itself, by its id. */
 inline constexpr std::string_view GatewayPrefix = "citronspoke/gateways/";
+/** Key prefix under which gateways keep the software versions of each pool, by its name. */
+inline constexpr std::string_view VersionPrefix = "citronspoke/versions/";
 
 /**
  * Follows all keys under a prefix: reads the range once and then watches it.
--- /dev/null
+++ b/libs/streams/include/streams/Streams.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "fleet/Fleet.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <span>
+#include <unordered_map>
+
+/**
+ * Decides at which software version a stream goes on when its caller resumes it at another gateway.
+ * Targets of several versions serve in one pool, and a stream may go on only at the version that
+ * began it, its origin. Pure code: the caller passes state and time; no input or output, threads,
+ * locks or clock.
+ */
+namespace citronspoke::streams {
+
+/** A gateway's record that a stream has begun, for the gateways that hold a copy. */
+struct OriginNote {
+    /** The caller's attempt that began the stream; callers that resume it name this one. */
+    RequestId attempt;
+    SoftwareVersion version;
+};
+
+/** What a gateway knows of the versions of a pool's targets. */
+struct VersionView {
+    /** Versions of the targets within the window that the view was made for. */
+    std::set<SoftwareVersion> versions;
+    /** The gateway has read the targets and the store's record of earlier versions. */
+    bool coversWindow = false;
+    /** The gateway is in contact with the store, so that it would have learned of a new version. */
+    bool isCurrent = false;
+};
+
+/** A gateway asks another one where a stream began. */
+struct OriginQuery {
+    /** Chosen by the asking gateway, to match the reply. */
+    uint64_t number = 0;
+    RequestId attempt;
+    PoolId pool;
+    fleet::Address replyTo;
+};
+
+/** The reply to an OriginQuery. */
+struct OriginReply {
+    /** That of the query. */
+    uint64_t number = 0;
+    /** The gateway that replies. */
+    EntryId gateway;
+    /** None when the gateway has no record of the stream. */
+    std::optional<SoftwareVersion> origin;
+    VersionView view;
+};
+
+/** Number of other gateways to which a gateway sends the origin of a stream. */
+inline constexpr size_t HoldersPerStream = 3;
+/** Number of gateways that are asked: the holders, the gateway at which the stream began, and one
+ * more, since gateways may have been added meanwhile. */
+inline constexpr size_t QueriedGateways = 5;
+
+/**
+ * @param gateways all gateways.
+ * @param self is left out.
+ * @param count most gateways to return.
+ * @return the gateways that hold the origin of a stream, the first ones first; all gateways find
+ *         the same ones without communication.
+ */
+std::vector<EntryId> holdersOf(
+    const RequestId& attempt, std::span<const EntryId> gateways, const EntryId& self, size_t count);
+
+/** The origins of streams that a gateway began or holds for others. */
+class StreamOrigins {
+public:
+    /** @param capacity most streams; the oldest are dropped first. */
+    explicit StreamOrigins(size_t capacity);
+    /** The first note of a stream counts. */
+    void note(const OriginNote& note, SteadyTime now);
+    std::optional<SoftwareVersion> find(const RequestId& attempt) const;
+    /** Drops streams that were noted longer ago than @p retention. */
+    void expire(SteadyTime now, Milliseconds retention);
+    size_t size() const noexcept { return m_versions.size(); }
+
+private:
+    void dropOldest();
+
+    size_t m_capacity;
+    std::unordered_map<std::string, SoftwareVersion> m_versions;
+    /** Oldest first. */
+    std::deque<std::pair<SteadyTime, RequestId>> m_order;
+};
+
+/** The versions of a pool's targets over time, as one gateway sees them. */
+class VersionHistory {
+public:
+    /** @param present versions of the targets that the pool has now. */
+    void note(std::set<SoftwareVersion> present, SteadyTime now);
+    /** @param recorded versions that the store's record of the pool names. */
+    void noteRecorded(const std::set<SoftwareVersion>& recorded, SteadyTime now);
+    bool isPresent(const SoftwareVersion& version) const { return m_present.contains(version); }
+    /**
+     * @param window how far the view reaches back.
+     * @param isCurrent the gateway is in contact with the store.
+     */
+    VersionView view(SteadyTime now, Milliseconds window, bool isCurrent) const;
+    /** Forgets versions that were last present, or recorded, longer ago than @p window. */
+    void expire(SteadyTime now, Milliseconds window);
+
+private:
+    std::set<SoftwareVersion> m_present;
+    /** When each version was last present; for one that the gateway knows from the record only,
+     * when it learned of it. */
+    std::map<SoftwareVersion, SteadyTime> m_lastPresent;
+};
+
+/** What is known of the origin of a stream, and why. */
+struct Origin {
+    enum class Basis : uint8_t {
+        /** A gateway has a record of the stream. */
+        Record,
+        /** No other version has served while the stream may have begun. */
+        OnlyVersion,
+        /** The version cannot be told. */
+        Unknown,
+    };
+    Basis basis = Basis::Unknown;
+    /** Empty when it cannot be told. */
+    SoftwareVersion version;
+};
+
+/** @return the name of the basis in log lines and metrics. */
+std::string_view toText(Origin::Basis);
+
+/** Collects what the gateways know of the origin of one stream. */
+class OriginSearch {
+public:
+    /**
+     * @param own view of the gateway that searches; it has no record of the stream.
+     * @param asked number of gateways that are asked.
+     */
+    OriginSearch(VersionView own, size_t asked);
+    void add(const OriginReply& reply);
+    /** @return whether further replies cannot change the result. */
+    bool isComplete() const noexcept;
+    size_t replies() const noexcept { return m_replied.size(); }
+    /**
+     * Without a record, a stream began at the only version when the views together show no other
+     * one: a view that covers the window, confirmed by contact with the store or by all gateways
+     * that were asked.
+     */
+    Origin result() const;
+
+private:
+    size_t m_asked;
+    std::set<EntryId> m_replied;
+    std::optional<SoftwareVersion> m_recorded;
+    std::set<SoftwareVersion> m_versions;
+    bool m_coversWindow;
+    /** A view covers the window and is current. */
+    bool m_isConfirmed;
+};
+
+} // namespace citronspoke::streams
--- /dev/null
+++ b/libs/streams/src/OriginSearch.cpp
@@ -0,0 +1,46 @@
+#include "streams/Streams.h"
+
+#include <array>
+
+namespace citronspoke::streams {
+
+std::string_view toText(Origin::Basis basis)
+{
+    constexpr std::array<std::string_view, 3> Names { "record", "only_version", "unknown" };
+    return Names.at(static_cast<size_t>(basis));
+}
+
+OriginSearch::OriginSearch(VersionView own, size_t asked)
+    : m_asked(asked)
+    , m_versions(std::move(own.versions))
+    , m_coversWindow(own.coversWindow)
+    , m_isConfirmed(own.coversWindow && own.isCurrent)
+{
+}
+
+void OriginSearch::add(const OriginReply& reply)
+{
+    if (!m_replied.insert(reply.gateway).second)
+        return;
+    if (reply.origin)
+        m_recorded = reply.origin;
+    const VersionView& view = reply.view;
+    m_versions.insert(view.versions.begin(), view.versions.end());
+    m_coversWindow = m_coversWindow || view.coversWindow;
+    m_isConfirmed = m_isConfirmed || (view.coversWindow && view.isCurrent);
+}
+
+bool OriginSearch::isComplete() const noexcept { return m_recorded || m_replied.size() >= m_asked; }
+
+Origin OriginSearch::result() const
+{
+    if (m_recorded)
+        return { Origin::Basis::Record, *m_recorded };
+    const bool isConfirmed = m_isConfirmed || (m_coversWindow && isComplete());
+    const bool isOnlyVersion = m_versions.size() == 1 && !m_versions.begin()->empty();
+    if (isOnlyVersion && isConfirmed)
+        return { Origin::Basis::OnlyVersion, *m_versions.begin() };
+    return {};
+}
+
+} // namespace citronspoke::streams
--- /dev/null
+++ b/libs/streams/src/StreamOrigins.cpp
@@ -0,0 +1,46 @@
+#include "streams/Streams.h"
+
+namespace citronspoke::streams {
+
+std::vector<EntryId> holdersOf(
+    const RequestId& attempt, std::span<const EntryId> gateways, const EntryId& self, size_t count)
+{
+    std::vector<EntryId> others(gateways.begin(), gateways.end());
+    std::erase(others, self);
+    return firstByRendezvousRank(others, attempt.text(), count);
+}
+
+StreamOrigins::StreamOrigins(size_t capacity)
+    : m_capacity(capacity)
+{
+    require(capacity > 0, "the capacity for streams is positive");
+}
+
+void StreamOrigins::note(const OriginNote& note, SteadyTime now)
+{
+    if (!m_versions.try_emplace(note.attempt.text(), note.version).second)
+        return;
+    m_order.emplace_back(now, note.attempt);
+    if (m_versions.size() > m_capacity)
+        dropOldest();
+}
+
+std::optional<SoftwareVersion> StreamOrigins::find(const RequestId& attempt) const
+{
+    const auto found = m_versions.find(attempt.text());
+    return found == m_versions.end() ? std::nullopt : std::optional(found->second);
+}
+
+void StreamOrigins::expire(SteadyTime now, Milliseconds retention)
+{
+    while (!m_order.empty() && now - m_order.front().first > retention)
+        dropOldest();
+}
+
+void StreamOrigins::dropOldest()
+{
+    m_versions.erase(m_order.front().second.text());
+    m_order.pop_front();
+}
+
+} // namespace citronspoke::streams
--- /dev/null
+++ b/libs/streams/src/VersionHistory.cpp
@@ -0,0 +1,34 @@
+#include "streams/Streams.h"
+
+namespace citronspoke::streams {
+
+void VersionHistory::note(std::set<SoftwareVersion> present, SteadyTime now)
+{
+    m_present = std::move(present);
+    for (const SoftwareVersion& version : m_present)
+        m_lastPresent[version] = now;
+}
+
+void VersionHistory::noteRecorded(const std::set<SoftwareVersion>& recorded, SteadyTime now)
+{
+    for (const SoftwareVersion& version : recorded)
+        m_lastPresent.try_emplace(version, now);
+}
+
+VersionView VersionHistory::view(SteadyTime now, Milliseconds window, bool isCurrent) const
+{
+    VersionView view { {}, !m_present.empty(), isCurrent };
+    for (const auto& [version, lastPresent] : m_lastPresent) {
+        if (now - lastPresent <= window)
+            view.versions.insert(version);
+    }
+    return view;
+}
+
+void VersionHistory::expire(SteadyTime now, Milliseconds window)
+{
+    std::erase_if(
+        m_lastPresent, [now, window](const auto& item) { return now - item.second > window; });
+}
+
+} // namespace citronspoke::streams
--- /dev/null
+++ b/libs/streams/tests/StreamOriginsTests.cpp
@@ -0,0 +1,153 @@
+#include "streams/Streams.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace citronspoke;
+using namespace citronspoke::streams;
+
+namespace {
+
+const SteadyTime Start { std::chrono::hours(1) };
+constexpr Milliseconds Window { 15000 };
+
+SoftwareVersion version(const std::string& text) { return SoftwareVersion(text); }
+
+VersionView view(const std::set<SoftwareVersion>& versions, bool coversWindow, bool isCurrent)
+{
+    return { versions, coversWindow, isCurrent };
+}
+
+std::vector<EntryId> gateways(size_t count)
+{
+    std::vector<EntryId> ids;
+    for (size_t number = 1; number <= count; ++number)
+        ids.emplace_back("gateway-" + std::to_string(number));
+    return ids;
+}
+
+} // namespace
+
+Test(origins, the_first_note_of_a_stream_counts_until_it_expires)
+{
+    StreamOrigins origins(10);
+    origins.note({ RequestId("a"), version("v1") }, Start);
+    origins.note({ RequestId("a"), version("v2") }, Start + Milliseconds(10));
+    cr_assert(origins.find(RequestId("a")) == version("v1"));
+    cr_assert_not(origins.find(RequestId("b")).has_value());
+    origins.expire(Start + Window, Window);
+    cr_assert(origins.find(RequestId("a")).has_value());
+    origins.expire(Start + Window + Milliseconds(1), Window);
+    cr_assert_not(origins.find(RequestId("a")).has_value());
+}
+
+Test(origins, their_number_is_bounded_and_the_oldest_go_first)
+{
+    StreamOrigins origins(3);
+    for (const char* attempt : { "a", "b", "c", "d" })
+        origins.note({ RequestId(attempt), version("v1") }, Start);
+    cr_assert_eq(origins.size(), 3U);
+    cr_assert_not(origins.find(RequestId("a")).has_value());
+    cr_assert(origins.find(RequestId("d")).has_value());
+}
+
+// Guards against a stream whose origin is held where nobody asks for it.
+Test(origins, the_gateways_that_are_asked_include_all_holders)
+{
+    const bool isHeld = rc::check([] {
+        const std::vector<EntryId> all = gateways(*rc::gen::inRange<size_t>(2, 40));
+        const EntryId& begunAt = all.at(*rc::gen::inRange<size_t>(0, all.size()));
+        const EntryId& resumedAt = all.at(*rc::gen::inRange<size_t>(0, all.size()));
+        const RequestId attempt("attempt-" + std::to_string(*rc::gen::inRange(0, 100000)));
+        std::vector<EntryId> knowing = holdersOf(attempt, all, begunAt, HoldersPerStream);
+        RC_ASSERT(std::find(knowing.begin(), knowing.end(), begunAt) == knowing.end());
+        // With one gateway gone and another one added since the stream began.
+        std::vector<EntryId> later = all;
+        std::erase(later, begunAt);
+        later.emplace_back("gateway-added");
+        if (resumedAt == begunAt)
+            return;
+        const std::vector<EntryId> asked = holdersOf(attempt, later, resumedAt, QueriedGateways);
+        for (const EntryId& holder : knowing)
+            RC_ASSERT(holder == resumedAt
+                || std::find(asked.begin(), asked.end(), holder) != asked.end());
+    });
+    cr_assert(isHeld);
+}
+
+Test(version_history, versions_count_until_they_were_absent_for_the_window)
+{
+    VersionHistory history;
+    cr_assert_not(history.view(Start, Window, true).coversWindow);
+    history.note({ version("v1"), version("v2") }, Start);
+    history.note({ version("v2") }, Start + Milliseconds(1));
+    const VersionView both = history.view(Start + Window, Window, true);
+    cr_assert_eq(both.versions.size(), 2U);
+    cr_assert(both.coversWindow && both.isCurrent);
+    cr_assert(history.isPresent(version("v2")) && !history.isPresent(version("v1")));
+    const VersionView one = history.view(Start + Window + Milliseconds(1), Window, false);
+    cr_assert(one.versions == std::set<SoftwareVersion>({ version("v2") }));
+    cr_assert_not(one.isCurrent);
+}
+
+// Guards against a gateway that starts after a version has left and takes the other for the only
+// one.
+Test(version_history, a_recorded_version_counts_for_the_window_after_it_was_read)
+{
+    VersionHistory history;
+    history.noteRecorded({ version("v1"), version("v2") }, Start);
+    history.note({ version("v2") }, Start);
+    cr_assert_eq(history.view(Start + Window, Window, true).versions.size(), 2U);
+    history.noteRecorded({ version("v1"), version("v2") }, Start + Milliseconds(500));
+    history.note({ version("v2") }, Start + Window + Milliseconds(1));
+    cr_assert_eq(history.view(Start + Window + Milliseconds(1), Window, true).versions.size(), 1U);
+}
+
+Test(origin_search, a_record_decides_at_once)
+{
+    OriginSearch search(view({ version("v1"), version("v2") }, true, true), 5);
+    search.add({ 1, EntryId("g1"), std::nullopt, {} });
+    cr_assert_not(search.isComplete());
+    search.add({ 1, EntryId("g2"), version("v2"), {} });
+    cr_assert(search.isComplete());
+    cr_assert(search.result().basis == Origin::Basis::Record);
+    cr_assert(search.result().version == version("v2"));
+}
+
+// Guards against a guess at the version of a stream that no gateway has a record of.
+Test(origin_search, without_a_record_only_the_only_version_counts)
+{
+    const std::set<SoftwareVersion> one { version("v1") };
+    const std::set<SoftwareVersion> two { version("v1"), version("v2") };
+    struct Case {
+        std::string_view name;
+        VersionView own;
+        VersionView reply;
+        bool hasReplied = true;
+        Origin::Basis expected = Origin::Basis::Unknown;
+    };
+    const std::vector<Case> cases {
+        { "one version everywhere", view(one, true, true), view(one, true, true), true,
+            Origin::Basis::OnlyVersion },
+        { "two versions", view(two, true, true), view(two, true, true), true },
+        { "the other gateway knows a second version", view(one, true, true), view(two, true, true),
+            true },
+        { "this gateway has not read the records yet, the other one has", view(one, false, true),
+            view(one, true, true), true, Origin::Basis::OnlyVersion },
+        { "no gateway has read the records", view(one, false, true), view(one, false, true), true },
+        { "this gateway is cut off from the store and from the others", view(one, true, false), {},
+            false },
+        { "no gateway reaches the store", view(one, true, false), view(one, true, false), true,
+            Origin::Basis::OnlyVersion },
+        { "the other one is cut off, this one is not", view(one, true, true), {}, false,
+            Origin::Basis::OnlyVersion },
+        { "records without a version", view({ version("") }, true, true),
+            view({ version("") }, true, true), true },
+    };
+    for (const Case& item : cases) {
+        OriginSearch search(item.own, 1);
+        if (item.hasReplied)
+            search.add({ 1, EntryId("g1"), std::nullopt, item.reply });
+        cr_expect(search.result().basis == item.expected, "%s", item.name.data());
+    }
+}
