Decode engines come in pairs of one version, and streams that may be resumed begin there

Callers saw: a stream whose engine is lost ends when no other decode engine has its version, although engines of that version prefill. Cause: the plan chose decode engines by zone and age, and streams began at whichever had least work, so that a version could have a single decode engine. Change: the plan keeps and adds decode engines so that each version that decodes has two if it can. Where two versions have one each, one more engine decodes before the other is released. Streams that may be resumed begin at an engine that is the only one of its version only when the others have about 16 requests more.

--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -247,9 +247,10 @@
 bool RequestHandler::sendDecode()
 {
     const TargetStates states = decodeEngines();
+    const dispatch::DecodeGoal goal { m_prefilledPrompt->prefillEngine.zone,
+        m_callerInfo.prompt->tokens, m_route->isResumable };
     dispatch::TargetState* state
-        = dispatch::chooseDecodeEngine(readyTargets(states), m_excludedTargets,
-            m_prefilledPrompt->prefillEngine.zone, m_callerInfo.prompt->tokens, steadyNow());
+        = dispatch::chooseDecodeEngine(readyTargets(states), m_excludedTargets, goal, steadyNow());
     if (!state)
         return awaitTurn(states);
     adapter::TargetRequestFields fields;
--- a/apps/gateway/RoleCoordinator.cpp
+++ b/apps/gateway/RoleCoordinator.cpp
@@ -84,7 +84,8 @@
     for (const dispatch::TargetState* state : m_context.directory.allInPool(traits.id, now)) {
         const bool isLost = state->isSuspectedLost(now) || state->excludedUntil > now;
         engines.push_back({ m_context.reportedRoles.withReportedRole(state->record, now), isLost,
-            m_context.statedLimits.limit(state->record) });
+            m_context.statedLimits.limit(state->record),
+            m_context.reportedRoles.isChanging(state->record, now) });
         counts.add(*state, isLost);
     }
     const roles::Demand demand = m_peers.totalDemand(traits.id, now);
--- a/bench/decision-bench/main.cpp
+++ b/bench/decision-bench/main.cpp
@@ -67,7 +67,7 @@
     GatewayView view(state.range(0));
     for (auto _ : state) {
         const std::vector<TargetState*> engines = view.directory.usable(Pool, Now);
-        benchmark::DoNotOptimize(chooseDecodeEngine(engines, {}, ZoneId("zone-1"), 2000, Now));
+        benchmark::DoNotOptimize(chooseDecodeEngine(engines, {}, { ZoneId("zone-1"), 2000 }, Now));
     }
 }
 
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -305,16 +305,25 @@
     const PromptGoal& goal, const PrefixCacheIndex& cacheIndex, const PrefillSpeed& speed,
     const std::set<TargetId>& excluded, SteadyTime now);
 
+/** What a request demands of its decode engine. */
+struct DecodeGoal {
+    /** Zone of the engine that has prefilled the prompt. */
+    ZoneId zone;
+    /** Length of the prompt, whose KV cache is transferred. */
+    uint64_t promptTokens = 0;
+    /** Whether its stream may be resumed at another engine, which must have the same version. */
+    bool isResumable = false;
+};
+
 /**
  * Chooses a decode engine: the one with the least work, where a transfer from another zone counts
- * as more work. Engines that are to be avoided after recent failures come last.
+ * as more work, and for a stream that may be resumed an engine that is the only one of its software
+ * version. Engines that are to be avoided after recent failures come last.
  * @param excluded engines that must not get the request again.
- * @param zone of the engine that has prefilled the prompt.
- * @param promptTokens length of the prompt, whose KV cache is transferred.
  * @return null when there is none.
  */
 TargetState* chooseDecodeEngine(std::span<TargetState* const> decodeEngines,
-    const std::set<TargetId>& excluded, const ZoneId& zone, uint64_t promptTokens, SteadyTime now);
+    const std::set<TargetId>& excluded, const DecodeGoal& goal, SteadyTime now);
 
 /**
  * Retry budget: this entry's part of the retries that all entries together may make. It is a share
--- a/libs/dispatch/src/PromptPlacement.cpp
+++ b/libs/dispatch/src/PromptPlacement.cpp
@@ -120,6 +120,9 @@
     constexpr uint64_t TransferSetupTokens = 12500;
     /** A transfer between zones takes twice as long, which also delays those behind it. */
     constexpr uint64_t OtherZoneTransfers = 2;
+    /** A stream whose engine is lost ends when no other one has its version: other engines get it
+     * until they have about so many requests more. */
+    constexpr uint64_t OnlyOfVersionRequests = 16;
 
     Urgency urgencyOf(const PromptGoal& goal, Milliseconds prefillTime)
     {
@@ -184,9 +187,32 @@
     return best;
 }
 
+namespace {
+
+    bool hasSeveralVersions(std::span<TargetState* const> engines)
+    {
+        return std::any_of(engines.begin(), engines.end(), [&engines](const TargetState* engine) {
+            return engine->record.version != engines.front()->record.version;
+        });
+    }
+
+    /** @return whether no other engine has the version of this one; those that fail do not count.
+     */
+    bool isOnlyOfVersion(
+        const TargetState& engine, std::span<TargetState* const> engines, SteadyTime now)
+    {
+        return std::none_of(engines.begin(), engines.end(), [&](const TargetState* other) {
+            return other != &engine && other->record.version == engine.record.version
+                && !other->isAvoided(now);
+        });
+    }
+
+} // namespace
+
 TargetState* chooseDecodeEngine(std::span<TargetState* const> decodeEngines,
-    const std::set<TargetId>& excluded, const ZoneId& zone, uint64_t promptTokens, SteadyTime now)
+    const std::set<TargetId>& excluded, const DecodeGoal& goal, SteadyTime now)
 {
+    const bool avoidsOnlyOnes = goal.isResumable && hasSeveralVersions(decodeEngines);
     TargetState* best = nullptr;
     std::tuple<bool, uint64_t> bestRank;
     for (TargetState* decodeEngine : decodeEngines) {
@@ -194,8 +220,10 @@
             continue;
         const Load load = decodeEngine->load();
         uint64_t cost = load.usedCacheTokens + load.requests * TransferSetupTokens;
-        if (decodeEngine->record.zone != zone)
-            cost += OtherZoneTransfers * (promptTokens + TransferSetupTokens);
+        if (decodeEngine->record.zone != goal.zone)
+            cost += OtherZoneTransfers * (goal.promptTokens + TransferSetupTokens);
+        if (avoidsOnlyOnes && isOnlyOfVersion(*decodeEngine, decodeEngines, now))
+            cost += OnlyOfVersionRequests * TransferSetupTokens;
         const std::tuple<bool, uint64_t> rank(decodeEngine->isAvoided(now), cost);
         if (!best || rank < bestRank) {
             best = decodeEngine;
--- a/libs/dispatch/tests/PromptPlacementTests.cpp
+++ b/libs/dispatch/tests/PromptPlacementTests.cpp
@@ -227,8 +227,8 @@
     Fleet fleet(3);
     fleet.directory.noteStarted(TargetId("engine-0"), { 1, {}, 5000 });
     const std::vector<TargetState*> decodeEngines = fleet.directory.usable(Pool, Now);
-    cr_assert(
-        chooseDecodeEngine(decodeEngines, { TargetId("engine-1") }, ZoneId(), 100, Now)->record.id
+    cr_assert(chooseDecodeEngine(decodeEngines, { TargetId("engine-1") }, { ZoneId(), 100 }, Now)
+                  ->record.id
         == TargetId("engine-2"));
 }
 
@@ -239,7 +239,7 @@
     fleet.directory.find(TargetId("engine-1"))->record.zone = ZoneId("zone-b");
     const std::vector<TargetState*> decodeEngines = fleet.directory.usable(Pool, Now);
     const auto chosen = [&decodeEngines] {
-        return chooseDecodeEngine(decodeEngines, {}, ZoneId("zone-b"), 400, Now)->record.id;
+        return chooseDecodeEngine(decodeEngines, {}, { ZoneId("zone-b"), 400 }, Now)->record.id;
     };
     fleet.directory.noteStarted(TargetId("engine-1"), { 1, {}, 400 });
     cr_expect(chosen() == TargetId("engine-1"));
@@ -247,6 +247,34 @@
     cr_expect(chosen() == TargetId("engine-0"));
 }
 
+// Guards against streams that end with their engine because no other one has its software version.
+Test(load_pattern, streams_that_may_be_resumed_begin_where_another_engine_has_the_version)
+{
+    Fleet fleet(3);
+    const std::vector<TargetState*> decodeEngines = fleet.directory.usable(Pool, Now);
+    for (TargetState* decodeEngine : decodeEngines)
+        decodeEngine->record.version = SoftwareVersion("v2");
+    decodeEngines[0]->record.version = SoftwareVersion("v1");
+    const auto chosen = [&decodeEngines](bool isResumable) {
+        return chooseDecodeEngine(decodeEngines, {}, { ZoneId(), 400, isResumable }, Now)
+            ->record.id;
+    };
+    // Light work: two engines are enough for it.
+    for (int request = 0; request < 8; ++request) {
+        const TargetId id = chosen(true);
+        cr_expect(id != TargetId("engine-0"));
+        fleet.directory.noteStarted(id, { 1, {}, 400 });
+    }
+    cr_expect(chosen(false) == TargetId("engine-0"), "Other streams use what is left.");
+    // Much work: none is left idle.
+    for (const char* id : { "engine-1", "engine-2" })
+        fleet.directory.noteStarted(TargetId(id), { 30, {}, 400000 });
+    cr_expect(chosen(true) == TargetId("engine-0"));
+    // The other engine of the version fails: none has a companion, so that the work decides.
+    decodeEngines[1]->avoidUntil = Now + Milliseconds(1000);
+    cr_expect(chosen(true) == TargetId("engine-0"));
+}
+
 Test(prefix_cache_index, agrees_with_the_lookup_of_each_engine_after_any_sequence_of_changes)
 {
     constexpr int Engines = 6;
--- a/libs/emulator/src/EmulatedGateway.cpp
+++ b/libs/emulator/src/EmulatedGateway.cpp
@@ -300,8 +300,8 @@
 dispatch::TargetState* EmulatedGateway::chooseDecodeEngine(
     const ActiveRequest& request, const ZoneId& zone)
 {
-    return dispatch::chooseDecodeEngine(usableEngines(EngineRole::Decode), request.excluded, zone,
-        request.prompt.tokens, m_fleet.queue.steadyNow());
+    return dispatch::chooseDecodeEngine(usableEngines(EngineRole::Decode), request.excluded,
+        { zone, request.prompt.tokens }, m_fleet.queue.steadyNow());
 }
 
 void EmulatedGateway::startDecode(
--- a/libs/roles/include/roles/Roles.h
+++ b/libs/roles/include/roles/Roles.h
@@ -75,6 +75,8 @@
     bool isLost = false;
     /** The request limit that it states, if any. */
     std::optional<conditions::StatedLimits::Limit> limit;
+    /** It is taking its role and accepts no work yet. */
+    bool isChanging = false;
 };
 
 /** A role that an engine should take. */
@@ -102,7 +104,9 @@
  * same engines choose the same ones. Engines that decode already come first, then the zone with
  * the fewest decode engines. A decode engine whose request limit has left requests unserved counts
  * as the part of an engine that its limit allows; others are chosen in addition, those without
- * limits first, as long as the limits of both roles allow more prompts together.
+ * limits first, as long as the limits of both roles allow more prompts together. Where several
+ * software versions serve, each version that decodes gets two decode engines if it can, before any
+ * zone or age counts; one more engine may be chosen until that holds.
  * @param engines of one pool, in any order; leaving and lost ones and those without a role are
  *        ignored.
  * @param passedOver engines that are not newly chosen.
--- a/libs/roles/src/DecodeEngineChoice.cpp
+++ b/libs/roles/src/DecodeEngineChoice.cpp
@@ -38,22 +38,28 @@
         }
     };
 
-    /** Takes one engine from the zone with the fewest chosen ones, the oldest first. */
-    const PlannedEngine* takeNext(Engines& candidates, std::map<ZoneId, uint32_t>& chosenByZone)
+    /** Counts engines by their software version. */
+    using VersionCounts = std::map<SoftwareVersion, size_t>;
+
+    size_t countOf(const VersionCounts& counts, const PlannedEngine& engine)
     {
-        const auto best = std::min_element(candidates.begin(), candidates.end(),
-            [&chosenByZone](const PlannedEngine* left, const PlannedEngine* right) {
-                const uint32_t leftCount = chosenByZone[left->record.zone];
-                const uint32_t rightCount = chosenByZone[right->record.zone];
-                return leftCount != rightCount ? leftCount < rightCount
-                                               : ByRegistration {}(left, right);
-            });
-        const PlannedEngine* engine = *best;
-        candidates.erase(best);
-        return engine;
+        const auto found = counts.find(engine.record.version);
+        return found == counts.end() ? 0 : found->second;
     }
 
-    /** Chooses decode engines one after another and adds up what their limits allow. */
+    VersionCounts countVersions(const Engines& engines)
+    {
+        VersionCounts counts;
+        for (const PlannedEngine* engine : engines)
+            counts[engine->record.version] += 1;
+        return counts;
+    }
+
+    /**
+     * Chooses decode engines one after another and adds up what their limits allow. A stream can go
+     * on only at the software version that began it, so that no decode engine should be the only
+     * one of its version.
+     */
     class DecodeChoice {
     public:
         /** @param prefilling engines that do not decode. */
@@ -68,8 +74,14 @@
         {
             const bool limitsBind = std::any_of(engines.begin(), engines.end(), isShort);
             const double enough = m_target.engines * (limitsBind ? ReleaseFactor : 1.0);
-            while (m_sum < enough && !engines.empty()) {
-                const PlannedEngine* engine = takeNext(engines, m_chosenByZone);
+            const VersionCounts available = countVersions(engines);
+            const bool isMixed = available.size() > 1;
+            while (!engines.empty()) {
+                // One that is still changing does not replace an engine of another version yet.
+                const bool isEnough = m_sum >= enough && (!isMixed || m_serving >= enough);
+                if (isEnough && !takesCompanion(engines))
+                    return;
+                const PlannedEngine* engine = takeNext(engines, available);
                 add(*engine, limitsBind ? partOf(*engine) : 1);
             }
         }
@@ -77,8 +89,10 @@
         /** Chooses engines without limits that prefill, until there are enough. */
         void addUnlimited(Engines engines)
         {
+            const VersionCounts available = countVersions(engines);
             while (mayAdd() && !engines.empty())
-                addPrefilling(*takeNext(engines, m_chosenByZone), 1);
+                addPrefilling(*takeNext(engines, available), 1);
+            addCompanion(std::move(engines), available);
         }
 
         /**
@@ -90,8 +104,9 @@
             double prefillSum = static_cast<double>(unlimited) * m_target.engines;
             for (const PlannedEngine* engine : engines)
                 prefillSum += partOf(*engine);
+            const VersionCounts available = countVersions(engines);
             while (mayAdd() && !engines.empty()) {
-                const PlannedEngine* engine = takeNext(engines, m_chosenByZone);
+                const PlannedEngine* engine = takeNext(engines, available);
                 const double part = partOf(*engine);
                 const double decoded = std::min<double>(m_target.engines, m_sum + part);
                 if (part < SmallestUsefulPart || decoded - (prefillSum - part) > RoundingSlack)
@@ -118,6 +133,82 @@
                 1.0, engine.limit->requestsPerSecond * m_target.engines / m_target.prompts);
         }
 
+        /**
+         * @return the order in which versions are chosen: those of which one engine is chosen,
+         *         those of which two more can be, the others that have two, the rest.
+         */
+        int versionRank(const PlannedEngine& engine, const VersionCounts& available) const
+        {
+            const size_t chosen = countOf(m_chosenByVersion, engine);
+            if (chosen == 1)
+                return 0;
+            const bool hasTwo = countOf(available, engine) > 1;
+            const bool hasRoomForTwo = m_target.engines - m_sum >= 2;
+            if (chosen > 1 || (hasTwo && hasRoomForTwo))
+                return 1;
+            return hasTwo ? 2 : 3;
+        }
+
+        /** Takes one engine by its version, then from the zone with the fewest chosen ones, the
+         * oldest first. */
+        const PlannedEngine* takeNext(Engines& candidates, const VersionCounts& available)
+        {
+            const auto best = std::min_element(candidates.begin(), candidates.end(),
+                [this, &available](const PlannedEngine* left, const PlannedEngine* right) {
+                    const std::pair<int, uint32_t> leftRank(
+                        versionRank(*left, available), m_chosenByZone[left->record.zone]);
+                    const std::pair<int, uint32_t> rightRank(
+                        versionRank(*right, available), m_chosenByZone[right->record.zone]);
+                    return leftRank != rightRank ? leftRank < rightRank
+                                                 : ByRegistration {}(left, right);
+                });
+            const PlannedEngine* engine = *best;
+            candidates.erase(best);
+            return engine;
+        }
+
+        bool isAlone(const PlannedEngine& engine) const
+        {
+            return countOf(m_chosenByVersion, engine) == 1;
+        }
+
+        /** @return whether an engine that decodes already should be kept beside one of its version
+         *          that would be alone. */
+        bool takesCompanion(const Engines& engines) const
+        {
+            return m_target.engines > 1
+                && std::any_of(engines.begin(), engines.end(),
+                    [this](const PlannedEngine* engine) { return isAlone(*engine); });
+        }
+
+        /**
+         * While engines of several versions decode and one of them is alone, chooses one more
+         * engine of the version that has most: it becomes the companion, or replaces the other.
+         * @param available engines to choose by version.
+         */
+        void addCompanion(Engines engines, const VersionCounts& available)
+        {
+            const bool hasLone = std::any_of(m_chosenByVersion.begin(), m_chosenByVersion.end(),
+                [](const auto& item) { return item.second == 1; });
+            const bool isWanted = m_target.engines > 1 && m_chosenByVersion.size() > 1 && hasLone
+                && m_chosen.size() <= m_target.engines && m_prefilling > 1;
+            std::erase_if(engines, [this](const PlannedEngine* engine) {
+                return !m_chosenByVersion.contains(engine->record.version);
+            });
+            if (!isWanted || engines.empty())
+                return;
+            const auto best = std::max_element(engines.begin(), engines.end(),
+                [this, &available](const PlannedEngine* left, const PlannedEngine* right) {
+                    const std::pair<size_t, size_t> leftRank(
+                        countOf(m_chosenByVersion, *left), countOf(available, *left));
+                    const std::pair<size_t, size_t> rightRank(
+                        countOf(m_chosenByVersion, *right), countOf(available, *right));
+                    return leftRank != rightRank ? leftRank < rightRank
+                                                 : ByRegistration {}(right, left);
+                });
+            addPrefilling(**best, 1);
+        }
+
         /** One engine prefills, unless it is the only one. */
         bool mayAdd() const
         {
@@ -136,15 +227,20 @@
         {
             m_chosen.insert(engine.record.id);
             m_chosenByZone[engine.record.zone] += 1;
+            m_chosenByVersion[engine.record.version] += 1;
             m_sum += part;
+            m_serving += engine.isChanging ? 0 : part;
         }
 
         DecodeTarget m_target;
         size_t m_prefilling;
         std::set<TargetId> m_chosen;
         std::map<ZoneId, uint32_t> m_chosenByZone;
+        VersionCounts m_chosenByVersion;
         /** In engines without a request limit. */
         double m_sum = 0;
+        /** The part of the sum that serves already. */
+        double m_serving = 0;
     };
 
 } // namespace
--- a/libs/roles/tests/RolePlannerTests.cpp
+++ b/libs/roles/tests/RolePlannerTests.cpp
@@ -1,6 +1,5 @@
 #include "RoleTestFleet.h"
 
-#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace citronspoke;
@@ -9,83 +8,9 @@
 
 namespace {
 
-constexpr Milliseconds Tick { 150 };
-constexpr Milliseconds SwitchTime { 3000 };
-/** The users' engines take three seconds for a change; noticing and ordering must cost little. */
-constexpr Milliseconds RecoveryTarget = SwitchTime + Milliseconds(1000);
-
 /** A limit that has left requests unserved. */
 const conditions::StatedLimits::Limit ShortLimit { 4.4, {}, true };
 
-/** Engines whose sidecars carry out the planner's changes, on a simulated clock. */
-class Fleet {
-public:
-    explicit Fleet(size_t engines, size_t decoding, bool isFirstStart = false)
-        : m_planner(at(Milliseconds(0)), isFirstStart)
-    {
-        for (size_t index = 0; index < engines; ++index)
-            m_engines.push_back(engine("e" + std::to_string(index),
-                index < decoding ? EngineRole::Decode : EngineRole::Prefill,
-                static_cast<int64_t>(index) + 1, "zone-" + std::to_string(index % 4)));
-    }
-
-    PlannedEngine& operator[](size_t index) { return m_engines[index]; }
-    /** Engines that get no order carried out, as when their orders stay without a response. */
-    std::set<TargetId> deaf;
-    Demand demand { 0.5, 3 };
-
-    void run(Milliseconds length)
-    {
-        for (const Milliseconds end = m_now + length; m_now < end; m_now += Tick) {
-            finishChanges();
-            for (const RoleChange& change : m_planner.update(m_engines, demand, at(m_now)))
-                begin(change);
-        }
-    }
-    /** Runs until so many engines decode. @return how long it took. */
-    Milliseconds runUntilDecoding(size_t count)
-    {
-        const Milliseconds start = m_now;
-        constexpr Milliseconds Limit { 60000 };
-        while (decoding() < count && m_now - start < Limit)
-            run(Tick);
-        return m_now - start;
-    }
-    /** @return engines that can decode now. */
-    size_t decoding() const
-    {
-        return static_cast<size_t>(
-            std::count_if(m_engines.begin(), m_engines.end(), [this](const PlannedEngine& each) {
-                return !each.isLost && each.record.role == EngineRole::Decode
-                    && !m_changes.contains(each.record.id);
-            }));
-    }
-    size_t orders() const { return m_orders; }
-
-private:
-    void begin(const RoleChange& change)
-    {
-        m_orders += 1;
-        if (deaf.contains(change.engine))
-            return;
-        m_changes[change.engine] = m_now + SwitchTime;
-        for (PlannedEngine& each : m_engines) {
-            if (each.record.id == change.engine)
-                each.record.role = change.role;
-        }
-    }
-    void finishChanges()
-    {
-        std::erase_if(m_changes, [this](const auto& item) { return item.second <= m_now; });
-    }
-
-    std::vector<PlannedEngine> m_engines;
-    RolePlanner m_planner;
-    std::map<TargetId, Milliseconds> m_changes;
-    Milliseconds m_now { 0 };
-    size_t m_orders = 0;
-};
-
 } // namespace
 
 Test(load_pattern, lost_decode_engines_are_replaced_within_the_time_of_a_role_change)
