Fault soak: targets of two software versions, callers that resume their streams

Change: each start of a target has another version than the one before, also under the same id; events name the version that wrote them; records and reports tell when a target started. Callers resume a stream that broke off, at any gateway, up to four times; a stream with events of two versions breaks the new promise 'version'.

--- a/fakes/fleet/FakeDocuments.cpp
+++ b/fakes/fleet/FakeDocuments.cpp
@@ -35,6 +35,8 @@
         entry["phase"] = options.role;
     if (!options.version.empty())
         entry["version"] = options.version;
+    if (options.startedAt != 0)
+        entry["born"] = options.startedAt;
     return entry.dump();
 }
 
--- a/fakes/fleet/FakeDocuments.h
+++ b/fakes/fleet/FakeDocuments.h
@@ -36,6 +36,8 @@
     std::string state = "ready";
     /** Of the target's software; empty leaves the field out. */
     std::string version = "v1";
+    /** Milliseconds since 1970; 0 leaves the field out. */
+    int64_t startedAt = 0;
 };
 
 /** @return a target record in the JSON form that targets write. */
--- a/tests/soak/RunHistory.cpp
+++ b/tests/soak/RunHistory.cpp
@@ -21,6 +21,19 @@
     m_results[attempt] = result;
 }
 
+void RunHistory::recordResume(bool isServed)
+{
+    std::lock_guard lock(m_mutex);
+    m_resumes.first += 1;
+    m_resumes.second += isServed ? 1 : 0;
+}
+
+std::pair<size_t, size_t> RunHistory::resumes() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_resumes;
+}
+
 size_t RunHistory::runs(const std::string& attempt) const
 {
     std::lock_guard lock(m_mutex);
--- a/tests/soak/RunHistory.h
+++ b/tests/soak/RunHistory.h
@@ -28,6 +28,10 @@
     /** Records that a target began to run an attempt. */
     void recordRun(const std::string& attempt, const std::string& target);
     void recordResult(const std::string& attempt, CallerResult result);
+    /** Records that a caller resumed a stream, and whether it got the rest. */
+    void recordResume(bool isServed);
+    /** @return how many streams callers resumed, and how many of these went on to their end. */
+    std::pair<size_t, size_t> resumes() const;
     /** @return how often targets ran the attempt. */
     size_t runs(const std::string& attempt) const;
     /** @return how many attempts ended with this result. */
@@ -47,6 +51,7 @@
     std::map<std::string, std::vector<std::string>> m_runs;
     std::map<std::string, CallerResult> m_results;
     std::vector<std::string> m_violations;
+    std::pair<size_t, size_t> m_resumes;
 };
 
 } // namespace citronspoke::soak
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -36,14 +36,15 @@
 
     bool isStream(Work work) { return work == Work::Stream || work == Work::SingleStream; }
 
-    std::string requestText(std::string_view path, const std::string& attempt, bool hasPrompt)
+    std::string requestText(std::string_view path, const std::string& attempt, bool hasPrompt,
+        const std::string& extraLines = {})
     {
         std::string text = "POST ";
         text.append(path).append(" HTTP/1.1\r\nHost: ").append(fakes::RouteHost);
         text.append("\r\nX-Attempt-Id: ").append(attempt);
         text.append("\r\nX-Deadline-Ms: ").append(std::to_string(CallerDeadlineMs));
         // Callers may not set this field, so the gateway must remove it.
-        text.append("\r\nX-Pin-Ms: 5\r\n");
+        text.append("\r\nX-Pin-Ms: 5\r\n").append(extraLines);
         if (hasPrompt)
             text.append(
                 "X-Model: m\r\nX-Token-Counts: 100,8\r\nX-Prefix-Hash: 5c1e:60,91bd:40\r\n");
@@ -52,13 +53,19 @@
         return text.append(body);
     }
 
-    std::string expectedBody(const std::string& attempt, Work work)
+    /** @return the last word of the first event, which names the version that wrote it. */
+    std::string versionOf(std::string_view events)
+    {
+        const std::string_view event = events.substr(0, events.find("\n\n"));
+        return event.empty() ? std::string() : std::string(event.substr(event.rfind(' ') + 1));
+    }
+
+    std::string expectedEvents(
+        const std::string& attempt, uint64_t firstEvent, const std::string& version)
     {
-        if (!isStream(work))
-            return "answer to " + attempt;
         std::string events;
-        for (uint64_t number = 1; number <= EventsPerStream; ++number)
-            events += eventText(attempt, number);
+        for (uint64_t number = firstEvent; number <= EventsPerStream; ++number)
+            events += eventText(attempt, number, version);
         return events;
     }
 
@@ -149,6 +156,7 @@
 CallerResult SoakCaller::sendRequest(
     const fleet::Address& gateway, Work work, bool isPlannedOnly, bool leavesEarly)
 {
+    m_brokenStream.reset();
     const std::string attempt = nextAttempt(work);
     CallerResult result = CallerResult::Broken;
     if (connectTo(gateway) && send(requestText(requestPath(work), attempt, isStream(work)))) {
@@ -163,6 +171,34 @@
     return result;
 }
 
+CallerResult SoakCaller::resumeStream(const fleet::Address& gateway)
+{
+    const std::string attempt = nextAttempt(Work::Stream);
+    const std::string lines = "Resumes: " + m_brokenStream->firstAttempt
+        + "\r\nLast-Event-Id: " + std::to_string(m_brokenStream->lastEvent) + "\r\n";
+    CallerResult result = CallerResult::Broken;
+    if (connectTo(gateway) && send(requestText(requestPath(Work::Stream), attempt, true, lines)))
+        result = classify(attempt, Work::Stream, receive(), false);
+    else
+        close();
+    m_history.recordResult(attempt, result);
+    m_history.recordResume(result == CallerResult::Served);
+    return result;
+}
+
+SoakCaller::BrokenStream SoakCaller::streamAfter(
+    const std::string& attempt, const Response& response) const
+{
+    BrokenStream stream = m_brokenStream.value_or(BrokenStream { attempt, {}, 0 });
+    if (stream.version.empty())
+        stream.version = versionOf(response.body);
+    constexpr std::string_view EventEnd = "\n\n";
+    for (size_t end = response.body.find(EventEnd); end != std::string::npos;
+         end = response.body.find(EventEnd, end + 1))
+        stream.lastEvent += 1;
+    return stream;
+}
+
 Response SoakCaller::fetch(const fleet::Address& gateway, const std::string& path)
 {
     const std::string attempt = nextAttempt(Work::Repeatable);
@@ -176,7 +212,20 @@
 CallerResult SoakCaller::classify(
     const std::string& attempt, Work work, const Response& response, bool isPlannedOnly)
 {
-    const std::string expected = expectedBody(attempt, work);
+    std::string expected = "answer to " + attempt;
+    if (isStream(work)) {
+        const BrokenStream stream = streamAfter(attempt, response);
+        const uint64_t firstEvent = m_brokenStream ? m_brokenStream->lastEvent + 1 : 1;
+        if (!response.body.empty() && versionOf(response.body) != stream.version)
+            m_history.recordViolation("version",
+                attempt + " went on at " + versionOf(response.body) + " after "
+                    + stream.firstAttempt + " began at " + stream.version);
+        expected = expectedEvents(attempt, firstEvent, stream.version);
+        m_brokenStream.reset();
+        const bool isCutOff = !response.isComplete || response.status != Ok;
+        if (work == Work::Stream && isCutOff && stream.lastEvent > 0)
+            m_brokenStream = stream;
+    }
     if (response.status == Ok && !response.hasServerStamp)
         m_history.recordViolation("mixed", attempt + " was served without a target's stamp");
     if (response.status == Ok && !expected.starts_with(response.body))
--- a/tests/soak/SoakCaller.h
+++ b/tests/soak/SoakCaller.h
@@ -36,6 +36,10 @@
      */
     CallerResult sendRequest(
         const fleet::Address& gateway, Work work, bool isPlannedOnly, bool leavesEarly);
+    /** @return whether the last stream broke off after its first event. */
+    bool hasBrokenStream() const noexcept { return m_brokenStream.has_value(); }
+    /** Resumes that stream. */
+    CallerResult resumeStream(const fleet::Address& gateway);
     /** @return the response to a repeatable request for an application's path. */
     Response fetch(const fleet::Address& gateway, const std::string& path);
 
@@ -45,14 +49,23 @@
     Response receive();
     void close();
     std::string nextAttempt(Work work);
+    /** A stream that broke off, as far as the caller has it. */
+    struct BrokenStream {
+        std::string firstAttempt;
+        std::string version;
+        uint64_t lastEvent = 0;
+    };
     CallerResult classify(
         const std::string& attempt, Work work, const Response& response, bool isPlannedOnly);
+    /** @return what the caller has of a stream with this response; the earlier part counts too. */
+    BrokenStream streamAfter(const std::string& attempt, const Response& response) const;
 
     std::string m_name;
     RunHistory& m_history;
     uint64_t m_requests = 0;
     int m_descriptor = -1;
     fleet::Address m_gateway;
+    std::optional<BrokenStream> m_brokenStream;
 };
 
 } // namespace citronspoke::soak
--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -12,6 +12,7 @@
     /** A draining target keeps serving for this much longer. */
     constexpr Milliseconds DrainExtra { 500 };
     constexpr size_t DecodeEnginesAtStart = 2;
+    constexpr size_t Versions = 2;
 
     std::string quoted(const std::string& text) { return "\"" + text + "\"\n"; }
 
@@ -109,8 +110,12 @@
     const TargetContext context { m_history, m_handles, m_store,
         m_options.isPlannedOnly && m_options.checksTimeLimits ? std::optional(DrainLimit)
                                                               : std::nullopt };
-    place.target = std::make_unique<SoakTarget>(
-        context, id, place.pool, role, place.link->address(), stableHash(id));
+    // Each start has another version than the one before, so that two serve side by side.
+    const size_t index = static_cast<size_t>(&place - m_targets.data());
+    const std::string version = "v" + std::to_string(1 + (index + place.starts++) % Versions);
+    place.target = std::make_unique<SoakTarget>(context,
+        SoakTarget::Identity { id, place.pool, role, version }, place.link->address(),
+        stableHash(id));
     place.link->redirectTo(place.target->address());
     place.target->publish();
 }
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -82,6 +82,7 @@
         std::unique_ptr<SoakTarget> target;
         std::unique_ptr<SoakProcess> sidecar;
         int incarnations = 0;
+        size_t starts = 0;
         bool hasFault = false;
     };
 
--- a/tests/soak/SoakTarget.cpp
+++ b/tests/soak/SoakTarget.cpp
@@ -7,6 +7,7 @@
     using Json = nlohmann::json;
 
     constexpr Milliseconds WorkTime { 3 };
+    constexpr Milliseconds EventGap { 8 };
     constexpr Milliseconds RoleChangeTime { 200 };
     constexpr uint32_t Misdirected = 421;
     constexpr uint32_t Unavailable = 503;
@@ -34,7 +35,7 @@
 
 } // namespace
 
-std::string eventText(const std::string& attempt, uint64_t number)
+std::string eventText(const std::string& attempt, uint64_t number, const std::string& version)
 {
     const std::string id = std::to_string(number);
     std::string event = "id: ";
@@ -43,6 +44,8 @@
         .append(attempt)
         .append(" ")
         .append(id)
+        .append(" ")
+        .append(version)
         .append("\n\n");
 }
 
@@ -71,13 +74,15 @@
     std::erase_if(m_handles, [&](const auto& item) { return item.second.engine == engine; });
 }
 
-SoakTarget::SoakTarget(const TargetContext& context, std::string id, std::string pool,
-    std::optional<EngineRole> role, const fleet::Address& published, uint64_t seed)
+SoakTarget::SoakTarget(
+    const TargetContext& context, Identity identity, const fleet::Address& published, uint64_t seed)
     : m_context(context)
-    , m_id(std::move(id))
-    , m_pool(std::move(pool))
+    , m_id(std::move(identity.id))
+    , m_pool(std::move(identity.pool))
+    , m_version(std::move(identity.version))
+    , m_startedAt(unixNow())
     , m_published(published.text())
-    , m_role(role)
+    , m_role(identity.role)
     , m_random(seed)
     , m_server(std::make_unique<fakes::FakeHttpServer>(
           [this](const fakes::FakeRequest& request, fakes::FakeConnection& connection) {
@@ -103,7 +108,8 @@
     std::lock_guard lock(m_mutex);
     const std::string role = m_role ? std::string(toText(*m_role)) : "";
     m_context.store.put("servers/" + m_id,
-        fakes::entryText({ m_pool, m_published, role, m_drainStartedAt ? "draining" : "ready" }));
+        fakes::entryText({ m_pool, m_published, role, m_drainStartedAt ? "draining" : "ready",
+            m_version, m_startedAt.value() }));
 }
 
 void SoakTarget::startDraining()
@@ -279,8 +285,8 @@
     const std::string last = request.field("Last-Event-Id");
     for (uint64_t event = last.empty() ? 1 : std::stoull(last) + 1; event <= EventsPerStream;
          ++event) {
-        std::this_thread::sleep_for(WorkTime);
-        connection.send(http1::composeChunk(eventText(attempt, event)));
+        std::this_thread::sleep_for(EventGap);
+        connection.send(http1::composeChunk(eventText(attempt, event, m_version)));
         if (!connection.isOpen())
             return;
     }
@@ -331,7 +337,8 @@
 {
     std::lock_guard lock(m_mutex);
     Json response { { "busy", m_isChangingRole.load() }, { "seq", m_orders }, { "queued", 0 },
-        { "active", m_running.load() }, { "kvUsed", 0 }, { "kvTotal", 400000 } };
+        { "active", m_running.load() }, { "kvUsed", 0 }, { "kvTotal", 400000 },
+        { "born", m_startedAt.value() } };
     if (m_role)
         response["phase"] = toText(*m_role);
     connection.answer(200, {}, response.dump());
--- a/tests/soak/SoakTarget.h
+++ b/tests/soak/SoakTarget.h
@@ -10,9 +10,9 @@
 namespace citronspoke::soak {
 
 /** Number of events in a complete stream. */
-inline constexpr uint64_t EventsPerStream = 6;
-/** @return event @p number, from 1, of an attempt's stream. */
-std::string eventText(const std::string& attempt, uint64_t number);
+inline constexpr uint64_t EventsPerStream = 12;
+/** @return event @p number, from 1, as targets of a software version write it for an attempt. */
+std::string eventText(const std::string& attempt, uint64_t number, const std::string& version);
 
 /** The faults that a target injects, as shares (0 to 1) of its requests. */
 struct TargetFaults {
@@ -63,9 +63,18 @@
  */
 class SoakTarget {
 public:
+    /** What a target is. */
+    struct Identity {
+        std::string id;
+        std::string pool;
+        /** None for an application. */
+        std::optional<EngineRole> role;
+        /** Of its software. */
+        std::string version;
+    };
     /** @param published the address in the target's record. */
-    SoakTarget(const TargetContext& context, std::string id, std::string pool,
-        std::optional<EngineRole> role, const fleet::Address& published, uint64_t seed);
+    SoakTarget(const TargetContext& context, Identity identity, const fleet::Address& published,
+        uint64_t seed);
     ~SoakTarget();
 
     const std::string& id() const noexcept { return m_id; }
@@ -95,6 +104,8 @@
     TargetContext m_context;
     std::string m_id;
     std::string m_pool;
+    std::string m_version;
+    UnixMillis m_startedAt;
     std::string m_published;
     mutable std::mutex m_mutex;
     std::optional<EngineRole> m_role;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -68,7 +68,8 @@
         text << "served " << m_history.results(CallerResult::Served) << ", refused "
              << m_history.results(CallerResult::Refused) << ", failed "
              << m_history.results(CallerResult::Failed) << ", broken "
-             << m_history.results(CallerResult::Broken);
+             << m_history.results(CallerResult::Broken) << ", streams resumed by callers "
+             << m_history.resumes().first << ", of these served " << m_history.resumes().second;
         return text.str();
     }
 
@@ -115,6 +116,8 @@
     void sendRequests(size_t number)
     {
         constexpr uint64_t LeavesEarlyOneIn = 20;
+        constexpr size_t ResumesPerStream = 4;
+        constexpr Milliseconds ResumePause { 50 };
         constexpr Milliseconds Pause { 5 };
         SoakCaller caller("c" + std::to_string(number), m_history);
         std::mt19937_64 random(m_options.seed * 1000 + number);
@@ -123,6 +126,10 @@
             const Work work = static_cast<Work>(random() % 4);
             const CallerResult result = caller.sendRequest(m_fleet.callerAddress(gateway), work,
                 m_options.isPlannedOnly, random() % LeavesEarlyOneIn == 0);
+            for (size_t tries = 0; caller.hasBrokenStream() && tries < ResumesPerStream; ++tries) {
+                caller.resumeStream(m_fleet.callerAddress(random() % m_fleet.gateways()));
+                std::this_thread::sleep_for(ResumePause);
+            }
             if (result != CallerResult::Served || random() % 8 == 0)
                 gateway = random() % m_fleet.gateways();
             std::this_thread::sleep_for(Pause);
