Targets that send bytes without end are cut off, and their requests go elsewhere

Callers saw: nothing yet; the users' pages say that a target in trouble may send bytes without end, in a head or a body, until its caller closes. Cause: a response that is not relayed, a part of an event, and a response to an earlier request that is skipped were taken in up to the request's deadline, without a bound on memory. Change: at most 1 MB is skipped before a response begins; a response that is held until it is whole has at most 4 MB, the handle of a prompt 64 KB, one event 1 MB, a call to the store or to an engine 8 MB. Beyond that the connection is closed and the outcome of the attempt is unknown, without counting as a crash of the target. A caller for which 4 MB are held, because it does not read, is disconnected. Result: endless_bytes/end_with_the_connection_and_the_request_goes_to_another_target: before, five of its seven kinds of bytes (interim responses, a body with and without a frame, a response to an earlier request, an event) were read up to the test's own end at 32 MB; header lines were bounded by the parser already. All seven pass now.

--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr size_t MaxPendingBytes = size_t { 64 } * 1024;
+    /** Bytes of a response that are held for a caller; streams of tokens have a few kilobytes. */
+    constexpr size_t MaxUnsentBytes = size_t { 4 } << 20;
 
     http1::MessageLimits messageLimits(const GatewayContext& context)
     {
@@ -135,6 +137,13 @@
 void CallerConnection::writeBody(std::string_view bytes)
 {
     m_connection->write(http1::composeChunk(bytes));
+    if (m_connection->unsentBytes() <= MaxUnsentBytes)
+        return;
+    telemetry::logWarning("caller", "Closed the connection of a caller that reads too slowly.",
+        { { "unsent", std::to_string(m_connection->unsentBytes()) } });
+    telemetry::count("slow_callers_closed");
+    // The handler is on the call stack.
+    m_context.loop.post([self = shared_from_this()] { self->close(); });
 }
 
 void CallerConnection::endBody()
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -143,6 +143,8 @@
     void onHead(const http1::ResponseHead& head);
     void onBody(std::string_view bytes);
     void relayEvents(std::string_view bytes);
+    /** Breaks the attempt off because its target sends more than any response has. */
+    void endOversizedAttempt();
     void onEnd(channels::ExchangeEnd end);
 
     Outcome classify(channels::ExchangeEnd end) const;
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -13,6 +13,12 @@
 
 namespace {
 
+    /** A target may send bytes without end; these are held in memory until a response is whole. */
+    constexpr size_t MaxBufferedResponseBytes = size_t { 4 } << 20;
+    constexpr size_t MaxEventBytes = size_t { 1 } << 20;
+    /** The handle of a prompt, in a short document. */
+    constexpr size_t MaxPrefillResponseBytes = size_t { 64 } << 10;
+
     bool isSuccess(uint32_t status) { return status >= 200 && status < 300; }
 
     /** @return whether a status tells callers that their request has not run and will not. */
@@ -103,10 +109,27 @@
 
 void RequestHandler::onBody(std::string_view bytes)
 {
-    if (m_attempt->isRelayed)
+    if (m_attempt->isRelayed) {
         relayEvents(bytes);
-    else
-        m_attempt->body.append(bytes);
+        if (m_attempt->splitter.pendingBytes() > MaxEventBytes)
+            endOversizedAttempt();
+        return;
+    }
+    m_attempt->body.append(bytes);
+    const size_t limit
+        = m_attempt->step == Step::Prefill ? MaxPrefillResponseBytes : MaxBufferedResponseBytes;
+    if (m_attempt->body.size() > limit)
+        endOversizedAttempt();
+}
+
+void RequestHandler::endOversizedAttempt()
+{
+    telemetry::logWarning("request", "Broke off a response that is too long.",
+        { { "id", m_callerInfo.attempt.text() }, { "attempt", std::to_string(m_attempt->number) },
+            { "target", m_attempt->target.id.text() } });
+    telemetry::count("oversized_responses");
+    m_attempt->exchange->cancel();
+    afterAttempt(Outcome::Unknown);
 }
 
 void RequestHandler::relayEvents(std::string_view bytes)
--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -164,6 +164,9 @@
         /** Idle connections are not reused after this, or sooner if the peer announces less. */
         Milliseconds idleLifetime { 10000 };
         size_t idlePerPeer = 64;
+        /** Bytes before the response to a request, such as a late response to an earlier one, that
+         * are skipped; an exchange with more is broken. */
+        size_t skippedBytes = size_t { 1 } << 20;
     };
 
     ConnectionPool(EventLoop& loop, const Options& options);
@@ -204,7 +207,8 @@
 /**
  * Sends a request and collects the whole response; does not block.
  * @param limit longest time, in milliseconds, until the response is complete.
- * @param handler called once; receives none when no complete response came within the limit.
+ * @param handler called once; receives none when no complete response came within the limit, or
+ *        one of more than 8 MB.
  * @return owner of the call; destroying it cancels the call, and the handler is not called.
  */
 std::shared_ptr<void> call(EventLoop& loop, ConnectionPool& pool, const PeerKey& peer,
--- a/libs/channels/src/Call.cpp
+++ b/libs/channels/src/Call.cpp
@@ -25,6 +25,9 @@
         ExchangePointer exchange;
     };
 
+    /** A page of the store has about 1 MB. */
+    constexpr size_t MaxBodyBytes = size_t { 8 } << 20;
+
 } // namespace
 
 std::shared_ptr<void> call(EventLoop& loop, ConnectionPool& pool, const PeerKey& peer,
@@ -41,8 +44,14 @@
         }
     };
     handlers.onBody = [weak](std::string_view bytes) {
-        if (const std::shared_ptr<PendingCall> self = weak.lock())
-            self->response.body.append(bytes);
+        const std::shared_ptr<PendingCall> self = weak.lock();
+        if (!self)
+            return;
+        self->response.body.append(bytes);
+        if (self->response.body.size() > MaxBodyBytes) {
+            self->exchange->cancel();
+            self->finish(std::nullopt);
+        }
     };
     handlers.onEnd = [weak](ExchangeEnd end) {
         const std::shared_ptr<PendingCall> self = weak.lock();
--- a/libs/channels/src/ConnectionPool.cpp
+++ b/libs/channels/src/ConnectionPool.cpp
@@ -123,9 +123,19 @@
                 }
                 bytes.remove_prefix(used);
                 deliver(events, bytes.empty());
+                if (!m_isFinished && !m_hasHead)
+                    skip(used);
             }
         }
 
+        /** Counts bytes that belong to no response to this request. */
+        void skip(size_t size)
+        {
+            m_skipped += size;
+            if (m_skipped > m_pool->options.skippedBytes)
+                finish(ExchangeEnd::Broken);
+        }
+
         void onConnectionEnd(ConnectionEnd end)
         {
             const std::shared_ptr<PooledExchange> self = shared_from_this();
@@ -159,6 +169,7 @@
         void onHead(const http1::ResponseHead& head)
         {
             m_isSkipping = m_handlers.matchesRequest && !m_handlers.matchesRequest(head);
+            m_hasHead = !m_isSkipping;
             m_isPersistent = head.isPersistent && head.framing != http1::BodyFraming::UntilClose;
             m_keepAliveTimeout = keepAliveTimeout(head);
             if (!m_isSkipping && m_handlers.onHead)
@@ -207,7 +218,10 @@
         Handlers m_handlers;
         PooledPointer m_pooled;
         std::optional<Milliseconds> m_keepAliveTimeout;
+        size_t m_skipped = 0;
         bool m_isConnected = false;
+        /** The head of the response to this request was received. */
+        bool m_hasHead = false;
         bool m_isSkipping = false;
         bool m_isPersistent = false;
         bool m_isFinished = false;
--- a/libs/http1/include/http1/Http1.h
+++ b/libs/http1/include/http1/Http1.h
@@ -167,6 +167,8 @@
 public:
     /** @return the events that these bytes complete. */
     std::vector<StreamEvent> feed(std::string_view bytes);
+    /** @return size of the event that has been received in part. */
+    size_t pendingBytes() const noexcept { return m_pending.size(); }
     /** @return whether an event has been received in part. */
     bool hasPartialEvent() const noexcept { return !m_pending.empty(); }
 
--- a/libs/http1/src/EventSplitter.cpp
+++ b/libs/http1/src/EventSplitter.cpp
@@ -1,5 +1,6 @@
 #include "http1/Http1.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace citronspoke::http1 {
@@ -34,10 +35,12 @@
 
 std::vector<StreamEvent> EventSplitter::feed(std::string_view bytes)
 {
+    // What was pending before has no end of an event, except for the first part of one.
+    const size_t searchedBytes = m_pending.size() - std::min(m_pending.size(), EventEnd.size() - 1);
     m_pending.append(bytes);
     std::vector<StreamEvent> events;
     size_t start = 0;
-    for (size_t end = m_pending.find(EventEnd); end != std::string::npos;
+    for (size_t end = m_pending.find(EventEnd, searchedBytes); end != std::string::npos;
          end = m_pending.find(EventEnd, start)) {
         const size_t next = end + EventEnd.size();
         StreamEvent event { m_pending.substr(start, next - start), std::nullopt };
