A stream goes on only at an engine that confirms its incarnation

Cause: an engine may restart under its id with another version. Until its new record arrives, which takes some tenths of a second and the whole of a store outage, the gateway takes it for the earlier incarnation, and the expected id in the request holds for both. Change: where records tell when a target started, a gateway asks the target for that time before a stream goes on there; another time, or no reply in 250 ms, sends the stream elsewhere. Result: versions/a_stream_does_not_go_on_at_an_engine_that_has_restarted_unnoticed fails without the change and passes with it; versions/a_stream_goes_on_at_an_engine_that_confirms_its_incarnation passes.

--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -3,11 +3,8 @@
 #include "Durations.h"
 #include "PeerGroup.h"
 #include "Statuses.h"
-#include "StreamRegistry.h"
 #include "telemetry/Telemetry.h"
 
-#include <algorithm>
-
 namespace citronspoke::gateway {
 
 namespace {
@@ -92,25 +89,6 @@
         sendNext();
 }
 
-void RequestHandler::resumeStream()
-{
-    const std::weak_ptr<RequestHandler> weak = weak_from_this();
-    m_originSearch = m_context.streams->findOrigin(
-        { m_callerInfo.attempt, m_callerInfo.resumedAttempt, m_pool->id },
-        [weak](const streams::Origin& origin) {
-            const std::shared_ptr<RequestHandler> self = weak.lock();
-            if (!self || self->m_isOver)
-                return;
-            if (origin.basis == streams::Origin::Basis::Unknown) {
-                self->refuse(Unavailable, "it is not known at which version the stream began",
-                    std::min(NoTargetRetryAfter, self->timeLeft() / RetryAfterDivisor));
-                return;
-            }
-            self->m_streamVersion = origin.version;
-            self->sendNext();
-        });
-}
-
 bool RequestHandler::findRoute()
 {
     m_routes = m_context.routes;
@@ -159,34 +137,6 @@
         fail("no other usable target");
 }
 
-void RequestHandler::keepStreamVersion(TargetStates& states) const
-{
-    if (!m_streamVersion)
-        return;
-    // The events that two versions write do not fit together, and targets do not check this.
-    std::erase_if(states, [this](const dispatch::TargetState* state) {
-        return m_streamVersion->empty() || state->record.version != *m_streamVersion;
-    });
-}
-
-RequestHandler::TargetStates RequestHandler::decodeEngines() const
-{
-    TargetStates states = m_context.enginesInRole(m_pool->id, EngineRole::Decode);
-    keepStreamVersion(states);
-    return states;
-}
-
-bool RequestHandler::hasTargetToGoOn() const
-{
-    if (m_pool->engine)
-        return !decodeEngines().empty();
-    TargetStates states = m_context.directory.usable(m_pool->id, steadyNow());
-    keepStreamVersion(states);
-    return std::any_of(states.begin(), states.end(), [this](const dispatch::TargetState* state) {
-        return !m_excludedTargets.contains(state->record.id);
-    });
-}
-
 bool RequestHandler::sendWhole()
 {
     TargetStates states = m_context.directory.usable(m_pool->id, steadyNow());
@@ -199,6 +149,8 @@
         m_context.zone, m_context.randomFraction(), steadyNow());
     if (!state)
         return awaitTurn(states);
+    if (confirmIncarnation(state->record))
+        return true;
     dispatch::Load load { 1, {}, 0 };
     if (m_callerInfo.prompt)
         load.usedCacheTokens = m_callerInfo.prompt->tokens + m_callerInfo.prompt->outputLimit;
@@ -253,6 +205,8 @@
         = dispatch::chooseDecodeEngine(readyTargets(states), m_excludedTargets, goal, steadyNow());
     if (!state)
         return awaitTurn(states);
+    if (confirmIncarnation(state->record))
+        return true;
     adapter::TargetRequestFields fields;
     fields.stage = adapter::DecodeFromHandle { m_prefilledPrompt->prefillEngine.address,
         m_prefilledPrompt->handle };
--- a/apps/gateway/RequestHandlerOutcomes.cpp
+++ b/apps/gateway/RequestHandlerOutcomes.cpp
@@ -126,6 +126,7 @@
     m_deadlineTimer.cancel();
     m_turnTimer.cancel();
     m_originSearch.reset();
+    m_reportCall.reset();
     cancelTurn(m_turn);
     cancelTurn(m_decodeTurn);
     std::string step;
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -72,17 +72,6 @@
     m_writer->beginBody(head.status, head.reason, adapter::responseHeadersForCaller(head));
 }
 
-void RequestHandler::countResume() const
-{
-    if (!m_hasBegunResponse && !m_lastEventId)
-        return;
-    std::string relation = "unknown";
-    if (m_streamVersion && !m_streamVersion->empty())
-        relation = *m_streamVersion == m_attempt->target.version ? "same" : "other";
-    telemetry::count("streams_resumed",
-        { { "by", m_hasBegunResponse ? "gateway" : "caller" }, { "version", relation } });
-}
-
 void RequestHandler::noteStatedLimit()
 {
     const adapter::ResponseInfo& info = m_attempt->responseInfo;
--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -45,7 +45,7 @@
 }
 
 void GatewayFixture::addTarget(const std::string& id, const std::string& service, Script script,
-    const std::string& role, const std::string& version)
+    const std::string& role, const std::string& version, int64_t startedAt)
 {
     m_targets.push_back(std::make_unique<fakes::FakeHttpServer>(
         [this, id, script = std::move(script)](
@@ -61,7 +61,8 @@
             script(request, connection);
         }));
     m_store.put("servers/" + id,
-        fakes::entryText({ service, m_targets.back()->address().text(), role, "ready", version }));
+        fakes::entryText(
+            { service, m_targets.back()->address().text(), role, "ready", version, startedAt }));
 }
 
 void GatewayFixture::setCachedParts(const std::string& id, const std::map<std::string, int>& parts)
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -27,9 +27,13 @@
     void addRoute(const std::string& prefix, const RouteOptions& options);
     /** Writes the declaration with the routes added so far. */
     void declare(int version);
-    /** @param role empty for an application. @param version of the target's software. */
+    /**
+     * @param role empty for an application.
+     * @param version of the target's software.
+     * @param startedAt milliseconds since 1970; 0 when the record does not tell.
+     */
     void addTarget(const std::string& id, const std::string& service, Script script,
-        const std::string& role = {}, const std::string& version = "v1");
+        const std::string& role = {}, const std::string& version = "v1", int64_t startedAt = 0);
     /** Sets the cached prompt parts that an engine reports: tokens by part id. */
     void setCachedParts(const std::string& id, const std::map<std::string, int>& parts);
     /** @return whether a target was queried for its cached prompt parts. */
--- a/apps/gateway/tests/VersionTests.cpp
+++ b/apps/gateway/tests/VersionTests.cpp
@@ -22,6 +22,9 @@
         request.head.method == "DELETE" ? "" : R"({"kvHandle":"h1","tokens":1460,"version":1})");
 }
 
+/** The coalescing time of the gateways' store feeds, and some more. */
+constexpr Milliseconds SettleTime { 600 };
+
 /** Sends the events that are left of a stream of four. */
 void streamToEnd(const FakeRequest& request, FakeConnection& connection)
 {
@@ -61,8 +64,6 @@
     void addDecodeEngine(const std::string& id, const std::string& version)
     {
         addTarget(id, "llm", streamToEnd, "decode", version);
-        // The coalescing time of the gateways' store feeds, and some more.
-        constexpr Milliseconds SettleTime { 600 };
         std::this_thread::sleep_for(SettleTime);
     }
 
@@ -207,3 +208,52 @@
         cr_assert(caller.receive().body == eventsText(3, 4));
     }
 }
+
+// Guards against an engine that restarts under its id with another version before the gateway
+// learns of it.
+Test(versions, a_stream_does_not_go_on_at_an_engine_that_has_restarted_unnoticed)
+{
+    VersionFixture fixture;
+    fixture.startWithFirstEngine(1);
+    Caller caller(fixture.callers());
+    caller.send(requestText("POST", "/s/x", "a1", PromptLines));
+    GatewayFixture::waitUntil([&] { return fixture.hasBegun.load(); });
+    std::atomic<int64_t> startedAt { 1000 };
+    const GatewayFixture::Script script
+        = [&startedAt](const FakeRequest& request, FakeConnection& connection) {
+              if (request.head.target == "/report")
+                  connection.answer(200, {},
+                      R"({"phase":"decode","seq":0,"born":)" + std::to_string(startedAt) + "}");
+              else
+                  streamToEnd(request, connection);
+          };
+    fixture.addTarget("second-v1", "llm", script, "decode", "v1", startedAt);
+    std::this_thread::sleep_for(SettleTime);
+    // The store still has the record of before.
+    startedAt = 2000;
+    fixture.isLost = true;
+    const CallerResponse response = caller.receive();
+    cr_assert_not(response.isComplete);
+    cr_assert(response.body == eventsText(1, 2));
+}
+
+Test(versions, a_stream_goes_on_at_an_engine_that_confirms_its_incarnation)
+{
+    VersionFixture fixture;
+    fixture.startWithFirstEngine(1);
+    Caller caller(fixture.callers());
+    caller.send(requestText("POST", "/s/x", "a1", PromptLines));
+    GatewayFixture::waitUntil([&] { return fixture.hasBegun.load(); });
+    const GatewayFixture::Script script
+        = [](const FakeRequest& request, FakeConnection& connection) {
+              if (request.head.target == "/report")
+                  connection.answer(200, {}, R"({"phase":"decode","seq":0,"born":1000})");
+              else
+                  streamToEnd(request, connection);
+          };
+    fixture.addTarget("second-v1", "llm", script, "decode", "v1", 1000);
+    std::this_thread::sleep_for(SettleTime);
+    fixture.isLost = true;
+    const CallerResponse response = caller.receive();
+    cr_assert(response.isComplete && response.body == eventsText(1, 4));
+}
