Streams go on where no target states a version; soak counts resumed streams, not tries

Change: targets without a version count as one version where no target of the pool has one, and as unknown beside targets that have one. The soak counts each stream once, and reads events from responses with status 200 only.

--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -109,6 +109,7 @@
 
     /** Removes the targets whose version is not the one that began the stream, if it has begun. */
     void keepStreamVersion(TargetStates& states) const;
+    bool isWithoutVersions(const fleet::PoolTraits& pool) const;
     /** @return the engines that decode, as far as the request may go there. */
     TargetStates decodeEngines() const;
     /** One run of a target. */
--- a/apps/gateway/RequestHandlerVersions.cpp
+++ b/apps/gateway/RequestHandlerVersions.cpp
@@ -45,11 +45,20 @@
     if (!m_streamVersion)
         return;
     // The events that two versions write do not fit together, and targets do not check this.
-    std::erase_if(states, [this](const dispatch::TargetState* state) {
-        return m_streamVersion->empty() || state->record.version != *m_streamVersion;
+    // Targets without a version count as one version only where no target of the pool has one.
+    const bool isUsable = !m_streamVersion->empty() || isWithoutVersions(*m_pool);
+    std::erase_if(states, [this, isUsable](const dispatch::TargetState* state) {
+        return !isUsable || state->record.version != *m_streamVersion;
     });
 }
 
+bool RequestHandler::isWithoutVersions(const fleet::PoolTraits& pool) const
+{
+    const TargetStates states = m_context.directory.allInPool(pool.id, steadyNow());
+    return std::all_of(states.begin(), states.end(),
+        [](const dispatch::TargetState* state) { return state->record.version.empty(); });
+}
+
 RequestHandler::TargetStates RequestHandler::decodeEngines() const
 {
     TargetStates states = m_context.enginesInRole(m_pool->id, EngineRole::Decode);
--- a/apps/gateway/tests/VersionTests.cpp
+++ b/apps/gateway/tests/VersionTests.cpp
@@ -257,3 +257,34 @@
     const CallerResponse response = caller.receive();
     cr_assert(response.isComplete && response.body == eventsText(1, 4));
 }
+
+// Guards against streams that end with their engine where targets state no versions at all.
+Test(versions, streams_go_on_where_no_target_states_a_version)
+{
+    GatewayFixture fixture;
+    fixture.addRoute("/s/", { "streaming", "llm", 5000, 3, true, true });
+    fixture.declare(1);
+    fixture.addTarget("reader", "llm", prefillPrompt, "prefill", "");
+    std::atomic<bool> hasBroken { false };
+    const GatewayFixture::Script script
+        = [&hasBroken](const FakeRequest& request, FakeConnection& connection) {
+              if (hasBroken.exchange(true)) {
+                  streamToEnd(request, connection);
+                  return;
+              }
+              sendEvents(request, connection, 1, 2);
+              connection.send(http1::composeChunk("id: 3\ndata: to"));
+              std::this_thread::sleep_for(Milliseconds(100));
+              connection.reset();
+          };
+    for (const char* id : { "maker-1", "maker-2" })
+        fixture.addTarget(id, "llm", script, "decode", "");
+    fixture.start();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
+    const CallerResponse response
+        = sendRequest(fixture, requestText("POST", "/s/x", "a1", PromptLines));
+    cr_assert(response.isComplete && response.body == eventsText(1, 4));
+    Caller caller(fixture.callers());
+    caller.send(resumeText("a3", "a2"));
+    cr_assert(caller.receive().body == eventsText(3, 4));
+}
--- a/libs/streams/include/streams/Streams.h
+++ b/libs/streams/include/streams/Streams.h
@@ -124,7 +124,7 @@
         Unknown,
     };
     Basis basis = Basis::Unknown;
-    /** Empty when it cannot be told. */
+    /** Empty when it cannot be told, or when no target of the pool states one. */
     SoftwareVersion version;
 };
 
--- a/libs/streams/src/OriginSearch.cpp
+++ b/libs/streams/src/OriginSearch.cpp
@@ -37,8 +37,7 @@
     if (m_recorded)
         return { Origin::Basis::Record, *m_recorded };
     const bool isConfirmed = m_isConfirmed || (m_coversWindow && isComplete());
-    const bool isOnlyVersion = m_versions.size() == 1 && !m_versions.begin()->empty();
-    if (isOnlyVersion && isConfirmed)
+    if (m_versions.size() == 1 && isConfirmed)
         return { Origin::Basis::OnlyVersion, *m_versions.begin() };
     return {};
 }
--- a/libs/streams/tests/StreamOriginsTests.cpp
+++ b/libs/streams/tests/StreamOriginsTests.cpp
@@ -141,8 +141,10 @@
             Origin::Basis::OnlyVersion },
         { "the other one is cut off, this one is not", view(one, true, true), {}, false,
             Origin::Basis::OnlyVersion },
-        { "records without a version", view({ version("") }, true, true),
-            view({ version("") }, true, true), true },
+        { "no target states a version", view({ version("") }, true, true),
+            view({ version("") }, true, true), true, Origin::Basis::OnlyVersion },
+        { "some targets state no version", view({ version(""), version("v1") }, true, true),
+            view({ version(""), version("v1") }, true, true), true },
     };
     for (const Case& item : cases) {
         OriginSearch search(item.own, 1);
--- a/tests/soak/RunHistory.h
+++ b/tests/soak/RunHistory.h
@@ -28,7 +28,8 @@
     /** Records that a target began to run an attempt. */
     void recordRun(const std::string& attempt, const std::string& target);
     void recordResult(const std::string& attempt, CallerResult result);
-    /** Records that a caller resumed a stream, and whether it got the rest. */
+    /** Records that a caller resumed a stream, with one or more tries, and whether it got the rest.
+     */
     void recordResume(bool isServed);
     /** @return how many streams callers resumed, and how many of these went on to their end. */
     std::pair<size_t, size_t> resumes() const;
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -182,7 +182,6 @@
     else
         close();
     m_history.recordResult(attempt, result);
-    m_history.recordResume(result == CallerResult::Served);
     return result;
 }
 
@@ -190,6 +189,8 @@
     const std::string& attempt, const Response& response) const
 {
     BrokenStream stream = m_brokenStream.value_or(BrokenStream { attempt, {}, 0 });
+    if (response.status != Ok)
+        return stream;
     if (stream.version.empty())
         stream.version = versionOf(response.body);
     constexpr std::string_view EventEnd = "\n\n";
@@ -213,10 +214,11 @@
     const std::string& attempt, Work work, const Response& response, bool isPlannedOnly)
 {
     std::string expected = "answer to " + attempt;
-    if (isStream(work)) {
+    if (isStream(work) && (response.status == Ok || m_brokenStream)) {
         const BrokenStream stream = streamAfter(attempt, response);
         const uint64_t firstEvent = m_brokenStream ? m_brokenStream->lastEvent + 1 : 1;
-        if (!response.body.empty() && versionOf(response.body) != stream.version)
+        const bool hasEvents = response.status == Ok && !response.body.empty();
+        if (hasEvents && versionOf(response.body) != stream.version)
             m_history.recordViolation("version",
                 attempt + " went on at " + versionOf(response.body) + " after "
                     + stream.firstAttempt + " began at " + stream.version);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -126,10 +126,13 @@
             const Work work = static_cast<Work>(random() % 4);
             const CallerResult result = caller.sendRequest(m_fleet.callerAddress(gateway), work,
                 m_options.isPlannedOnly, random() % LeavesEarlyOneIn == 0);
+            const bool isResumed = caller.hasBrokenStream();
             for (size_t tries = 0; caller.hasBrokenStream() && tries < ResumesPerStream; ++tries) {
                 caller.resumeStream(m_fleet.callerAddress(random() % m_fleet.gateways()));
                 std::this_thread::sleep_for(ResumePause);
             }
+            if (isResumed)
+                m_history.recordResume(!caller.hasBrokenStream());
             if (result != CallerResult::Served || random() % 8 == 0)
                 gateway = random() % m_fleet.gateways();
             std::this_thread::sleep_for(Pause);
