A reply about another stream decides no search

Cause: numbers of searches begin anew with each run of a gateway, so that a late reply to its earlier run could be taken for the origin of another stream (by reading). Change: replies name the attempt they are about, and others are dropped. A record of versions that could not be written is tried again after 2 s, not twice a second. Names in the registry. Result: versions/a_reply_about_another_stream_decides_nothing.

--- a/apps/gateway/StreamRegistry.cpp
+++ b/apps/gateway/StreamRegistry.cpp
@@ -23,10 +23,11 @@
 
 /** A search for the origin of one stream that waits for replies. */
 struct StreamRegistry::Search {
-    Search(StreamRegistry& registry, Resume resume, streams::OriginSearch search, Handler handler)
+    Search(
+        StreamRegistry& registry, Resume resume, streams::OriginSearch collected, Handler handler)
         : registry(registry)
         , resume(std::move(resume))
-        , search(std::move(search))
+        , collected(std::move(collected))
         , handler(std::move(handler))
         , startedAt(steadyNow())
         , timer(registry.m_context.loop)
@@ -38,7 +39,7 @@
 
     StreamRegistry& registry;
     Resume resume;
-    streams::OriginSearch search;
+    streams::OriginSearch collected;
     Handler handler;
     SteadyTime startedAt;
     uint64_t number = 0;
@@ -103,19 +104,17 @@
         return nullptr;
     }
     streams::VersionView own = m_versions.viewOf(resume.pool);
-    const streams::Origin ownOrigin = streams::OriginSearch(own, QueryRounds).result();
-    // Without the name of the first attempt, the others can only confirm this.
-    const bool isCertain = resume.firstAttempt.empty() && own.isCurrent
-        && ownOrigin.basis == streams::Origin::Basis::OnlyVersion;
-    if (isCertain) {
+    const streams::Origin ownOrigin = streams::OriginSearch(own, streams::QueriedGateways).result();
+    // When the caller does not name the first attempt, other gateways have no record of it either.
+    if (resume.firstAttempt.empty() && ownOrigin.basis == streams::Origin::Basis::OnlyVersion) {
         report(resume, ownOrigin, 0, Milliseconds(0));
         handler(ownOrigin);
         return nullptr;
     }
-    return search(resume, std::move(own), std::move(handler));
+    return startSearch(resume, std::move(own), std::move(handler));
 }
 
-std::shared_ptr<void> StreamRegistry::search(
+std::shared_ptr<void> StreamRegistry::startSearch(
     const Resume& resume, streams::VersionView&& own, Handler&& handler)
 {
     const RequestId& key = resume.firstAttempt.empty() ? resume.attempt : resume.firstAttempt;
@@ -127,7 +126,7 @@
     search->number = ++m_lastNumber;
     search->asked = std::move(asked);
     m_searches[search->number] = search.get();
-    if (search->search.isComplete()) {
+    if (search->collected.isComplete()) {
         finish(*search);
         return nullptr;
     }
@@ -164,31 +163,31 @@
 
 void StreamRegistry::onQuery(const streams::OriginQuery& query)
 {
-    const streams::OriginReply reply { query.number, m_peers.id(), m_origins.find(query.attempt),
-        m_versions.viewOf(query.pool) };
+    const streams::OriginReply reply { query.number, query.attempt, m_peers.id(),
+        m_origins.find(query.attempt), m_versions.viewOf(query.pool) };
     m_peers.send(query.replyTo, peers::encode(reply));
 }
 
 void StreamRegistry::onReply(const streams::OriginReply& reply)
 {
     const auto found = m_searches.find(reply.number);
-    if (found == m_searches.end())
+    if (found == m_searches.end() || found->second->resume.firstAttempt != reply.attempt)
         return;
     Search& search = *found->second;
-    search.search.add(reply);
-    if (search.search.isComplete())
+    search.collected.add(reply);
+    if (search.collected.isComplete())
         finish(search);
 }
 
 void StreamRegistry::finish(Search& search)
 {
-    const streams::Origin origin = search.search.result();
+    const streams::Origin origin = search.collected.result();
     // The handler may destroy the search.
     m_searches.erase(search.number);
     search.timer.cancel();
     if (origin.basis == streams::Origin::Basis::Record)
         noteOrigin({ search.resume.firstAttempt, origin.version });
-    report(search.resume, origin, search.search.replies(), since(search.startedAt));
+    report(search.resume, origin, search.collected.replies(), since(search.startedAt));
     const Handler handler = std::move(search.handler);
     handler(origin);
 }
--- a/apps/gateway/StreamRegistry.h
+++ b/apps/gateway/StreamRegistry.h
@@ -51,7 +51,7 @@
     void noteOrigin(const streams::OriginNote& note);
     /** @param receivers the holders among these get the note. */
     void sendToHolders(const streams::OriginNote& note, const std::set<EntryId>& receivers);
-    std::shared_ptr<void> search(
+    std::shared_ptr<void> startSearch(
         const Resume& resume, streams::VersionView&& own, Handler&& handler);
     void askHolders(Search& search);
     void finish(Search& search);
--- a/apps/gateway/VersionRecords.cpp
+++ b/apps/gateway/VersionRecords.cpp
@@ -16,6 +16,8 @@
     /** Time that each gateway leaves to the one before it in the order of writers. */
     constexpr Milliseconds WriterDelay { 1500 };
     constexpr Milliseconds CallTimeout { 1000 };
+    /** Until the next call, also after one that failed. */
+    constexpr Milliseconds WritePause { 2000 };
     constexpr char Separator = '\n';
 
     std::string encode(const std::set<SoftwareVersion>& versions)
@@ -108,8 +110,10 @@
             continue;
         }
         const SteadyTime since = m_staleSince.try_emplace(pool, now).first->second;
-        if (!m_call && isOwnTurn(pool, since))
+        if (now >= m_nextWriteAt && isOwnTurn(pool, since)) {
+            m_nextWriteAt = now + WritePause;
             write(pool, versions);
+        }
     }
 }
 
--- a/apps/gateway/VersionRecords.h
+++ b/apps/gateway/VersionRecords.h
@@ -51,6 +51,7 @@
     /** Since when records differ from what they should be. */
     std::map<PoolId, SteadyTime> m_staleSince;
     bool m_hasReadRecords = false;
+    SteadyTime m_nextWriteAt {};
     std::shared_ptr<void> m_call;
     channels::Timer m_timer;
 };
--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -118,7 +118,11 @@
 {
     peers::Outbox outbox;
     outbox.add(roles::RoleReport { TargetId(id), UnixMillis(), role, isChanging });
-    const std::string datagram = outbox.takeDatagrams(EntryId("sidecar-" + id), unixNow()).front();
+    sendDatagram(outbox.takeDatagrams(EntryId("sidecar-" + id), unixNow()).front());
+}
+
+void GatewayFixture::sendDatagram(std::string_view datagram)
+{
     channels::EventLoop loop;
     channels::DatagramPort port(loop, { "127.0.0.1", m_ports.pick() }, [](std::string_view) {});
     port.send(fleet::requireAddress(m_gateways.front()->settings.operatorAddress), datagram);
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -38,6 +38,8 @@
     void setCachedParts(const std::string& id, const std::map<std::string, int>& parts);
     /** @return whether a target was queried for its cached prompt parts. */
     bool wasCacheQueried(const std::string& id) const;
+    /** Sends the first gateway a datagram, as another process would. */
+    void sendDatagram(std::string_view datagram);
     /** Sends the gateway a report of an engine's role, as its sidecar would. */
     void reportRole(const std::string& id, EngineRole role, bool isChanging);
     /** Receives the gateway's requests to sidecars; all engines of the fixture share one port. */
--- a/apps/gateway/tests/VersionTests.cpp
+++ b/apps/gateway/tests/VersionTests.cpp
@@ -288,3 +288,24 @@
     caller.send(resumeText("a3", "a2"));
     cr_assert(caller.receive().body == eventsText(3, 4));
 }
+
+// Guards against a late reply to a search of the gateway's earlier run, which had the same number.
+Test(versions, a_reply_about_another_stream_decides_nothing)
+{
+    VersionFixture fixture;
+    // Announced, but it never replies.
+    fixture.store().put("citronspoke/gateways/mute", fixture.sidecars().text());
+    fixture.startWithFirstEngine(1);
+    fixture.hasBegun = true;
+    fixture.addDecodeEngine("another-v2", "v2");
+    const auto resumeWithReply = [&fixture](uint64_t number, const std::string& repliedAttempt) {
+        Caller caller(fixture.callers());
+        caller.send(resumeText("a" + std::to_string(number), "first"));
+        std::this_thread::sleep_for(Milliseconds(30));
+        fixture.sendDatagram(peers::encode(streams::OriginReply {
+            number, RequestId(repliedAttempt), EntryId("mute"), SoftwareVersion("v2"), {} }));
+        return caller.receive().status;
+    };
+    cr_assert_eq(resumeWithReply(1, "another"), 503U);
+    cr_assert_eq(resumeWithReply(2, "first"), 200U);
+}
--- a/libs/peers/src/OriginCodec.cpp
+++ b/libs/peers/src/OriginCodec.cpp
@@ -11,9 +11,9 @@
     using NoteTuple = std::tuple<uint8_t, std::string, std::string>;
     /** Kind, number, attempt, pool, address for the reply. */
     using QueryTuple = std::tuple<uint8_t, uint64_t, std::string, std::string, std::string>;
-    /** Kind, number, gateway, whether there is a record, its version, versions seen, whether they
-     * cover the window, whether they are current. */
-    using ReplyTuple = std::tuple<uint8_t, uint64_t, std::string, bool, std::string,
+    /** Kind, number, attempt, gateway, whether there is a record, its version, versions seen,
+     * whether they cover the window, whether they are current. */
+    using ReplyTuple = std::tuple<uint8_t, uint64_t, std::string, std::string, bool, std::string,
         std::vector<std::string>, bool, bool>;
 
 } // namespace
@@ -39,10 +39,10 @@
         if (versions.size() < MaxVersions)
             versions.push_back(version.text());
     }
-    return pack(
-        ReplyTuple(static_cast<uint8_t>(OriginKind::Reply), reply.number, reply.gateway.text(),
-            reply.origin.has_value(), reply.origin.value_or(SoftwareVersion()).text(),
-            std::move(versions), reply.view.coversWindow, reply.view.isCurrent));
+    return pack(ReplyTuple(static_cast<uint8_t>(OriginKind::Reply), reply.number,
+        reply.attempt.text(), reply.gateway.text(), reply.origin.has_value(),
+        reply.origin.value_or(SoftwareVersion()).text(), std::move(versions),
+        reply.view.coversWindow, reply.view.isCurrent));
 }
 
 namespace {
@@ -69,9 +69,10 @@
                 fleet::requireAddress(replyTo) };
         }
         case OriginKind::Reply: {
-            const auto [kind, number, gateway, hasOrigin, origin, versions, coversWindow, isCurrent]
+            const auto [kind, number, attempt, gateway, hasOrigin, origin, versions, coversWindow,
+                isCurrent]
                 = unpackArray<ReplyTuple>(object);
-            streams::OriginReply reply { number, EntryId(gateway), std::nullopt,
+            streams::OriginReply reply { number, RequestId(attempt), EntryId(gateway), std::nullopt,
                 { {}, coversWindow, isCurrent } };
             if (hasOrigin)
                 reply.origin = SoftwareVersion(origin);
--- a/libs/peers/tests/PeersTests.cpp
+++ b/libs/peers/tests/PeersTests.cpp
@@ -155,11 +155,12 @@
     cr_assert_eq(std::get<streams::OriginQuery>(query).number, 300U);
     cr_assert(std::get<streams::OriginQuery>(query).pool == PoolId("llm"));
     cr_assert_eq(std::get<streams::OriginQuery>(query).replyTo.port, 9000);
-    streams::OriginReply reply { 300, EntryId("g"), SoftwareVersion("v2"), {} };
+    streams::OriginReply reply { 300, RequestId("a1"), EntryId("g"), SoftwareVersion("v2"), {} };
     reply.view = { { SoftwareVersion("v1"), SoftwareVersion("v2") }, true, false };
     const Message received = decodeMessage(encode(reply));
     const streams::OriginReply& decoded = std::get<streams::OriginReply>(received);
-    cr_assert(decoded.number == 300 && decoded.gateway == EntryId("g"));
+    cr_assert(decoded.number == 300 && decoded.attempt == RequestId("a1")
+        && decoded.gateway == EntryId("g"));
     cr_assert(decoded.origin == SoftwareVersion("v2"));
     cr_assert(decoded.view.versions == reply.view.versions);
     cr_assert(decoded.view.coversWindow && !decoded.view.isCurrent);
--- a/libs/streams/include/streams/Streams.h
+++ b/libs/streams/include/streams/Streams.h
@@ -44,8 +44,9 @@
 
 /** The reply to an OriginQuery. */
 struct OriginReply {
-    /** That of the query. */
+    /** Those of the query; the number alone may be that of an earlier run of the gateway. */
     uint64_t number = 0;
+    RequestId attempt;
     /** The gateway that replies. */
     EntryId gateway;
     /** None when the gateway has no record of the stream. */
--- a/libs/streams/tests/StreamOriginsTests.cpp
+++ b/libs/streams/tests/StreamOriginsTests.cpp
@@ -106,9 +106,9 @@
 Test(origin_search, a_record_decides_at_once)
 {
     OriginSearch search(view({ version("v1"), version("v2") }, true, true), 5);
-    search.add({ 1, EntryId("g1"), std::nullopt, {} });
+    search.add({ 1, {}, EntryId("g1"), std::nullopt, {} });
     cr_assert_not(search.isComplete());
-    search.add({ 1, EntryId("g2"), version("v2"), {} });
+    search.add({ 1, {}, EntryId("g2"), version("v2"), {} });
     cr_assert(search.isComplete());
     cr_assert(search.result().basis == Origin::Basis::Record);
     cr_assert(search.result().version == version("v2"));
@@ -149,7 +149,7 @@
     for (const Case& item : cases) {
         OriginSearch search(item.own, 1);
         if (item.hasReplied)
-            search.add({ 1, EntryId("g1"), std::nullopt, item.reply });
+            search.add({ 1, {}, EntryId("g1"), std::nullopt, item.reply });
         cr_expect(search.result().basis == item.expected, "%s", item.name.data());
     }
 }
