Test of the origins of streams when many gateways are killed at once

Change: a load pattern without network: 60 % of 2 to 330 gateways killed at once, one datagram in ten lost; at least half of the streams must be known to the gateways that are left.

--- a/libs/streams/tests/StreamOriginsTests.cpp
+++ b/libs/streams/tests/StreamOriginsTests.cpp
@@ -1,6 +1,7 @@
 #include "streams/Streams.h"
 
 #include <criterion/criterion.h>
+#include <random>
 #include <rapidcheck.h>
 
 using namespace citronspoke;
@@ -75,6 +76,42 @@
     cr_assert(isHeld);
 }
 
+// Guards against streams that are refused after many gateways were killed at once, as when half of
+// the VMs lose power: at least half of the streams must go on.
+Test(load_pattern, most_streams_of_killed_gateways_are_known_to_others)
+{
+    constexpr double KilledShare = 0.6;
+    constexpr double LostDatagrams = 0.1;
+    constexpr int Streams = 2000;
+    std::mt19937_64 random(1);
+    std::bernoulli_distribution isLost(LostDatagrams);
+    for (const size_t count : { 2, 3, 4, 6, 29, 68, 330 }) {
+        const std::vector<EntryId> all = gateways(count);
+        const size_t killed = std::max<size_t>(1, static_cast<size_t>(KilledShare * count));
+        int found = 0;
+        for (int number = 0; number < Streams; ++number) {
+            std::vector<EntryId> order = all;
+            std::shuffle(order.begin(), order.end(), random);
+            const std::set<EntryId> alive(
+                order.begin() + static_cast<ptrdiff_t>(killed), order.end());
+            const RequestId attempt("attempt-" + std::to_string(number));
+            // The first gateway that was killed began the stream; the last one is asked to resume
+            // it.
+            std::set<EntryId> knowing;
+            for (const EntryId& holder : holdersOf(attempt, all, order.front(), HoldersPerStream)) {
+                if (!isLost(random))
+                    knowing.insert(holder);
+            }
+            std::vector<EntryId> asked = holdersOf(attempt, all, order.back(), QueriedGateways);
+            asked.push_back(order.back());
+            found += std::any_of(asked.begin(), asked.end(), [&](const EntryId& gateway) {
+                return alive.contains(gateway) && knowing.contains(gateway);
+            });
+        }
+        cr_expect_geq(found, Streams / 2, "%zu gateways: %d of %d", count, found, Streams);
+    }
+}
+
 Test(version_history, versions_count_until_they_were_absent_for_the_window)
 {
     VersionHistory history;
