Lint of the new tests

Cause: clang-tidy found three places in tests of this issue. Change: no behaviour, no bound. Result: clang-tidy has no finding in the files of this issue; gateway and streams tests pass.

--- a/apps/gateway/tests/EndlessBytesTests.cpp
+++ b/apps/gateway/tests/EndlessBytesTests.cpp
@@ -32,14 +32,15 @@
     std::string repeated;
 };
 
+const std::string StatusLine = "HTTP/1.1 200 OK\r\n";
 const std::string LargeChunk = http1::composeChunk(std::string(16000, 'x'));
 
 std::vector<EndlessResponse> endlessResponses()
 {
-    const std::string http = "HTTP/1.1 200 OK\r\n";
     return {
-        { "header lines", "/a/", [http](const std::string&) { return http; }, "Field: value\r\n" },
-        { "one header line", "/a/", [http](const std::string&) { return http + "Field: "; },
+        { "header lines", "/a/", [](const std::string&) { return StatusLine; },
+            "Field: value\r\n" },
+        { "one header line", "/a/", [](const std::string&) { return StatusLine + "Field: "; },
             "value" },
         { "interim responses", "/a/", [](const std::string&) { return std::string(); },
             "HTTP/1.1 100 Continue\r\n\r\n" },
@@ -47,8 +48,8 @@
             [](const std::string& attempt) { return headText(attempt, "text/plain"); },
             LargeChunk },
         { "a body without a frame", "/a/",
-            [http](const std::string& attempt) {
-                return http + "X-Server-Stamp: s\r\nX-Attempt-Id: " + attempt + "\r\n\r\n";
+            [](const std::string& attempt) {
+                return StatusLine + "X-Server-Stamp: s\r\nX-Attempt-Id: " + attempt + "\r\n\r\n";
             },
             std::string(16000, 'x') },
         { "a response to an earlier request", "/a/",
--- a/apps/gateway/tests/VersionTests.cpp
+++ b/apps/gateway/tests/VersionTests.cpp
@@ -202,9 +202,10 @@
     fixture.startWithFirstEngine(2);
     fixture.hasBegun = true;
     for (const std::string first : { "Resumes: never-seen\r\n", "" }) {
+        std::string lines = PromptLines;
+        lines.append("Last-Event-Id: 2\r\n").append(first);
         Caller caller(fixture.callers(0));
-        caller.send(requestText("POST", "/s/x", "a" + std::to_string(first.size()),
-            PromptLines + "Last-Event-Id: 2\r\n" + first));
+        caller.send(requestText("POST", "/s/x", "a" + std::to_string(first.size()), lines));
         cr_assert(caller.receive().body == eventsText(3, 4));
     }
 }
--- a/libs/streams/tests/StreamOriginsTests.cpp
+++ b/libs/streams/tests/StreamOriginsTests.cpp
@@ -87,7 +87,8 @@
     std::bernoulli_distribution isLost(LostDatagrams);
     for (const size_t count : { 2, 3, 4, 6, 29, 68, 330 }) {
         const std::vector<EntryId> all = gateways(count);
-        const size_t killed = std::max<size_t>(1, static_cast<size_t>(KilledShare * count));
+        const size_t killed
+            = std::max<size_t>(1, static_cast<size_t>(KilledShare * static_cast<double>(count)));
         int found = 0;
         for (int number = 0; number < Streams; ++number) {
             std::vector<EntryId> order = all;
