--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -27,6 +27,19 @@
         return number ? std::to_string(*number) : std::string();
     }
 
+    /** @return the ids of the parts that a prompt may share with others, as a log line shows them. */
+    std::string sharedPartsText(const std::optional<fleet::Prompt>& prompt)
+    {
+        constexpr size_t MaxLoggedParts = 8;
+        if (!prompt || prompt->parts.empty())
+            return {};
+        const size_t count = std::min(prompt->parts.size() - 1, MaxLoggedParts);
+        std::string text;
+        for (const fleet::PromptPart& part : std::span(prompt->parts).first(count))
+            text.append(text.empty() ? "" : ",").append(part.id);
+        return text;
+    }
+
 } // namespace
 
 std::string_view RequestHandler::stepName(Step step)
@@ -74,6 +87,7 @@
             { "revision", std::to_string(m_routes->declaration().revision.value()) },
             { "left_ms", millisecondsText(timeLeft()) },
             { "tokens", std::to_string(m_callerInfo.prompt ? m_callerInfo.prompt->tokens : 0) },
+            { "parts", sharedPartsText(m_callerInfo.prompt) },
             { "resumes", m_callerInfo.resumedAttempt.text() },
             { "last_event", numberText(m_lastEventId) } });
     if (m_pool->engine && m_callerInfo.prompt)
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -72,6 +72,8 @@
         adapter::ResponseInfo responseInfo;
         std::string body;
         http1::EventSplitter splitter;
+        /** Complete events that the target has sent. */
+        uint64_t events = 0;
         /** Its body is streamed to the caller as it arrives. */
         bool isRelayed = false;
     };
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -147,6 +147,7 @@
 {
     std::string whole;
     for (const http1::StreamEvent& event : m_attempt->splitter.feed(bytes)) {
+        m_attempt->events += 1;
         // A resumed run may begin with an event that the caller already has.
         if (event.id && m_lastEventId && *event.id <= *m_lastEventId)
             continue;
@@ -170,6 +171,7 @@
             { "outcome", std::string(Names[static_cast<size_t>(outcome)]) },
             { "status", std::to_string(m_attempt->head ? m_attempt->head->status : 0) },
             { "end", std::string(Ends[static_cast<size_t>(end)]) },
+            { "events", std::to_string(m_attempt->events) },
             { "leaving", m_attempt->responseInfo.notice.isLeaving ? "yes" : "" },
             { "pause_ms", pauseText(m_attempt->responseInfo.notice) },
             { "took_ms", millisecondsText(since(m_attempt->startedAt)) } });
