--- a/fakes/fleet/FakeHttpServer.h
+++ b/fakes/fleet/FakeHttpServer.h
@@ -27,6 +27,8 @@
     void send(std::string_view bytes);
     /** Sends a complete response; Content-Length is added. */
     void answer(uint32_t status, const http1::Headers& headers, std::string_view body);
+    /** Closes the connection after the bytes that were sent. */
+    void close() noexcept { m_isOpen = false; }
     /** Closes the connection with a TCP reset instead of an orderly end. */
     void reset();
     /** Discards what the peer sends until it closes the connection. */
