Prompt parts that crash engines are quarantined

Cause: the quarantine recognised a request by all parts and its body, so that requests which share one part are strangers to each other; a response that ends with its connection was no crash at all, and one without an event looked complete. Change: each crash counts against the shared parts of the runs that broke before their first event; a first event clears the parts of its prompt, and keeps them from blame for a minute. Three crashes quarantine a part, unless other quarantined parts explain them all. Gateways report crashes, served parts and engines that turn out to be alive to each other, and keep the quarantined parts in the store for gateways that start anew. Requests are checked when they come and before each send. Why it works: a crashing part never gets an event, all sound ones do; what two parts cannot be told apart by is resolved by the next request that has one of them.

--- a/apps/gateway/CrashQuarantine.cpp
+++ b/apps/gateway/CrashQuarantine.cpp
@@ -1,21 +1,10 @@
 #include "CrashQuarantine.h"
 
+#include "quarantine/Quarantine.h"
 #include "telemetry/Telemetry.h"
 
 namespace citronspoke::gateway {
 
-namespace {
-
-    /** @return an id of the crash that is the same on all gateways, so that it counts once. */
-    uint64_t crashId(const fleet::TargetRecord& target)
-    {
-        return stableHash(target.id.text() + "/" + std::to_string(target.registration.storeEra)
-            + "/" + std::to_string(target.registration.number) + "/"
-            + std::to_string(target.startedAt.value()));
-    }
-
-} // namespace
-
 uint64_t CrashQuarantine::fingerprintOf(const http1::RequestHead& head, std::string_view body,
     const std::optional<fleet::Prompt>& prompt)
 {
@@ -30,7 +19,8 @@
 
 void CrashQuarantine::notePossibleCrash(uint64_t fingerprint, const fleet::TargetRecord& target)
 {
-    m_history.noteCrash(crashId(target), std::span(&fingerprint, 1), unixNow());
+    const uint64_t crash = static_cast<uint64_t>(quarantine::crashOf(target).value());
+    m_history.noteCrash(crash, std::span(&fingerprint, 1), unixNow());
     peers::CrashReport report { fingerprint, m_history.crashesOf(fingerprint) };
     telemetry::logInfo("crashes", "The connection to a target broke while it ran a request.",
         { { "fingerprint", std::to_string(fingerprint) }, { "target", target.id.text() },
--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -47,6 +47,7 @@
               } })
     , m_peers(m_context, m_store, fleet::requireAddress(settings.operatorAddress))
     , m_versions(m_context, m_peers, m_store)
+    , m_quarantineRecord(m_context, m_peers, m_store)
     , m_streams(m_context, m_peers, m_versions, fleet::requireAddress(settings.operatorAddress))
     , m_roles(m_context, m_peers)
     , m_cacheInventory(m_context)
@@ -75,6 +76,7 @@
     m_storeFeed.start();
     m_peers.start();
     m_versions.start();
+    m_quarantineRecord.start();
     m_roles.start();
 }
 
@@ -84,6 +86,7 @@
     std::vector<adapter::StoreItem> targets;
     std::vector<adapter::StoreItem> announcements;
     std::vector<adapter::StoreItem> versions;
+    std::optional<adapter::StoreItem> quarantined;
     for (const adapter::StoreItem& item : items) {
         if (item.key == adapter::DeclarationKey)
             onDeclaration(item);
@@ -93,7 +96,10 @@
             announcements.push_back(item);
         else if (item.key.starts_with(storefeed::VersionPrefix))
             versions.push_back(item);
+        else if (item.key == storefeed::QuarantineKey)
+            quarantined = item;
     }
+    m_quarantineRecord.onRead(quarantined);
     onTargets(targets, recovery);
     m_peers.onAnnouncements(announcements, recovery.mayReturnUntil);
     m_versions.onRecords(versions);
@@ -108,6 +114,8 @@
         m_peers.onAnnouncementChange(change, recovery.mayReturnUntil);
     } else if (key.starts_with(storefeed::VersionPrefix)) {
         m_versions.onRecordChange(change);
+    } else if (key == storefeed::QuarantineKey) {
+        m_quarantineRecord.onChange(change);
     } else if (const adapter::KeyWritten* written = std::get_if<adapter::KeyWritten>(&change)) {
         onDeclaration(written->item);
     }
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -3,6 +3,7 @@
 #include "CacheInventory.h"
 #include "CallerConnection.h"
 #include "PeerGroup.h"
+#include "QuarantineRecord.h"
 #include "RoleCoordinator.h"
 #include "StreamRegistry.h"
 
@@ -50,6 +51,7 @@
     storefeed::StoreFeed m_storeFeed;
     PeerGroup m_peers;
     VersionRecords m_versions;
+    QuarantineRecord m_quarantineRecord;
     StreamRegistry m_streams;
     RoleCoordinator m_roles;
     CacheInventory m_cacheInventory;
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CrashQuarantine.h"
+#include "PartQuarantine.h"
 #include "conditions/Conditions.h"
 #include "dispatch/Dispatch.h"
 #include "roles/Roles.h"
@@ -35,6 +36,8 @@
     dispatch::RetryBudget retryBudget;
     /** Requests that may crash the targets that run them. */
     CrashQuarantine crashQuarantine;
+    /** Prompt parts that crash the engines that decode prompts with them. */
+    PartQuarantine partQuarantine;
     /** Null until the operators' declaration is known. */
     std::shared_ptr<const dispatch::RouteTable> routes;
     /** Time since the store last confirmed the declaration; an hour when it never has. */
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -3,6 +3,8 @@
 #include "StreamRegistry.h"
 #include "telemetry/Telemetry.h"
 
+#include <algorithm>
+
 namespace citronspoke::gateway {
 
 namespace {
@@ -20,6 +22,8 @@
     constexpr Milliseconds DemandLifetime { 2000 };
     /** Longer than the users' window for retries, so that no part of the budget is spent twice. */
     constexpr Milliseconds GatewayCountRetention { 15000 };
+    /** Time that each gateway leaves to the one before it in the order of writers. */
+    constexpr Milliseconds WriterDelay { 1500 };
 
     EntryId announcedGateway(std::string_view key)
     {
@@ -55,6 +59,20 @@
         scheduleSend();
     };
     m_context.crashQuarantine.setPublisher(std::move(publisher));
+    PartQuarantine::Publisher partPublisher;
+    partPublisher.crash = [this](quarantine::PartCrashReport report) {
+        m_outbox.add(std::move(report));
+        scheduleSend();
+    };
+    partPublisher.served = [this](const quarantine::PromptPartId& part) {
+        m_outbox.addServed(part);
+        scheduleSend();
+    };
+    partPublisher.withdrawn = [this](quarantine::CrashKey crash) {
+        m_outbox.addWithdrawn(crash);
+        scheduleSend();
+    };
+    m_context.partQuarantine.setPublisher(std::move(partPublisher));
     m_announcement.start();
     m_resendTimer.arm(ResendInterval, [this] { resendReports(); });
 }
@@ -194,6 +212,11 @@
         m_outbox.add(std::move(report));
         scheduleSend();
     }
+    m_context.partQuarantine.expire();
+    for (quarantine::PartCrashReport& report : m_context.partQuarantine.takeReportsToResend()) {
+        m_outbox.add(std::move(report));
+        scheduleSend();
+    }
     noteStatedLimits();
     dropMissingPeers(steadyNow());
     resendDepartures(steadyNow());
@@ -223,6 +246,12 @@
         m_context.crashQuarantine.merge(report);
     for (const uint64_t fingerprint : update.cleared)
         m_context.crashQuarantine.mergeCleared(fingerprint);
+    for (const quarantine::PartCrashReport& report : update.partCrashes)
+        m_context.partQuarantine.merge(report, "gateway");
+    for (const quarantine::PromptPartId& part : update.servedParts)
+        m_context.partQuarantine.mergeServed(part);
+    for (const quarantine::CrashKey crash : update.withdrawnCrashes)
+        m_context.partQuarantine.mergeWithdrawn(crash);
     for (const TargetId& target : update.unreachable)
         m_context.directory.notePeerFailure(target, update.sender, now);
     for (const conditions::LimitReport& report : update.limits) {
@@ -307,6 +336,16 @@
     return ids;
 }
 
+bool PeerGroup::isOwnTurn(std::string_view key, SteadyTime since) const
+{
+    const std::vector<EntryId> all = gateways();
+    const std::vector<EntryId> writers = firstByRendezvousRank(all, key, all.size());
+    const auto own = std::find(writers.begin(), writers.end(), m_id);
+    if (own == writers.end())
+        return false;
+    return steadyNow() - since >= (own - writers.begin()) * WriterDelay;
+}
+
 void PeerGroup::requestRole(
     const fleet::Address& sidecar, const roles::RoleChange& change, size_t planners)
 {
--- a/apps/gateway/PeerGroup.h
+++ b/apps/gateway/PeerGroup.h
@@ -43,6 +43,13 @@
     roles::Demand totalDemand(const PoolId& pool, SteadyTime now) const;
     /** @return the ids of all gateways; this one's own included once it is announced. */
     std::vector<EntryId> gateways() const;
+    /**
+     * One gateway writes a key that all keep in the store; the next ones do so later if it does
+     * not.
+     * @param since when the key's value in the store became outdated.
+     * @return whether it is this gateway's turn.
+     */
+    bool isOwnTurn(std::string_view key, SteadyTime since) const;
     /** Sends a request to a sidecar, which replies to this gateway. */
     void requestRole(
         const fleet::Address& sidecar, const roles::RoleChange& change, size_t planners);
--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -27,7 +27,8 @@
         return number ? std::to_string(*number) : std::string();
     }
 
-    /** @return the ids of the parts that a prompt may share with others, as a log line shows them. */
+    /** @return the ids of the parts that a prompt may share with others, as a log line shows them.
+     */
     std::string sharedPartsText(const std::optional<fleet::Prompt>& prompt)
     {
         constexpr size_t MaxLoggedParts = 8;
@@ -70,10 +71,10 @@
     }
     if (!findRoute())
         return;
-    if (const std::optional<Milliseconds> quarantine = remainingQuarantine()) {
-        refuse(Unavailable, "the request is quarantined: it crashed its targets", *quarantine);
+    if (m_pool->engine && m_callerInfo.prompt)
+        m_sharedParts = quarantine::sharedParts(*m_callerInfo.prompt);
+    if (endWhenQuarantined())
         return;
-    }
     Milliseconds limit = m_route->timeout;
     if (m_callerInfo.timeLeft)
         limit = std::min(limit, *m_callerInfo.timeLeft);
@@ -131,6 +132,9 @@
 
 void RequestHandler::sendNext()
 {
+    // A quarantine may have begun while the request waited, or since its prompt was prefilled.
+    if (endWhenQuarantined())
+        return;
     const bool isPrompt = m_pool->engine && m_callerInfo.prompt && m_route->carriesPrompts;
     bool isTakenCareOf = false;
     if (isPrompt)
@@ -294,22 +298,6 @@
             { "left_ms", millisecondsText(fields.timeLeft) } });
 }
 
-uint64_t RequestHandler::fingerprint()
-{
-    if (!m_fingerprint)
-        m_fingerprint
-            = CrashQuarantine::fingerprintOf(m_request.head, m_request.body, m_callerInfo.prompt);
-    return *m_fingerprint;
-}
-
-std::optional<Milliseconds> RequestHandler::remainingQuarantine()
-{
-    // Bodies are long and crashes rare: nothing is hashed while no request is suspected.
-    if (m_context.crashQuarantine.empty())
-        return std::nullopt;
-    return m_context.crashQuarantine.remainingQuarantine(fingerprint());
-}
-
 Milliseconds RequestHandler::timeLeft() const
 {
     return std::chrono::duration_cast<Milliseconds>(m_deadline - steadyNow());
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -74,6 +74,8 @@
         http1::EventSplitter splitter;
         /** Complete events that the target has sent. */
         uint64_t events = 0;
+        /** The target has sent an event with an id, or the whole response. */
+        bool hasAnswerBegun = false;
         /** Its body is streamed to the caller as it arrives. */
         bool isRelayed = false;
     };
@@ -192,8 +194,20 @@
     void finish(std::string_view outcome, uint32_t status, std::string_view cause);
     /** @return the same hash for each attempt of the caller at the same work. */
     uint64_t fingerprint();
-    /** @return how much longer the request is quarantined; none when it may run. */
-    std::optional<Milliseconds> remainingQuarantine();
+    /** A quarantine that forbids to run the request. */
+    struct QuarantineHold {
+        std::string_view cause;
+        Milliseconds remaining { 0 };
+        /** The quarantined part of the prompt; empty when it is the request as a whole. */
+        std::string part;
+    };
+    std::optional<QuarantineHold> quarantineHold();
+    /** Refuses or fails the request when it is quarantined. @return whether it is. */
+    bool endWhenQuarantined();
+    /** Follows what the end of a run shows of requests and prompt parts that crash targets. */
+    void noteRunEnded(Outcome outcome, channels::ExchangeEnd end);
+    /** The current run has shown that its prompt does not crash engines. */
+    void noteAnswerBegun();
     void endAttempt(dispatch::AttemptResult result);
     void releasePrompt();
     Milliseconds timeLeft() const;
@@ -204,6 +218,8 @@
     ResponseWriter* m_writer;
     adapter::CallerRequestInfo m_callerInfo;
     std::optional<uint64_t> m_fingerprint;
+    /** The parts of its prompt that others may share. */
+    std::vector<quarantine::PromptPartId> m_sharedParts;
     std::shared_ptr<const dispatch::RouteTable> m_routes;
     const fleet::Route* m_route = nullptr;
     const fleet::PoolTraits* m_pool = nullptr;
--- a/apps/gateway/RequestHandlerOutcomes.cpp
+++ b/apps/gateway/RequestHandlerOutcomes.cpp
@@ -62,8 +62,8 @@
 {
     if (m_attempts >= MaxAttempts)
         retryBlocker = "too many attempts";
-    else if (remainingQuarantine())
-        retryBlocker = "the request is quarantined: it crashed its targets";
+    else if (const std::optional<QuarantineHold> hold = quarantineHold())
+        retryBlocker = hold->cause;
     else if (m_ranOn.size() >= m_route->maxTargets)
         retryBlocker = "the route's limit of targets is reached";
     else if (m_hasBegunResponse && !hasTargetToGoOn())
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -53,6 +53,8 @@
     m_attempt->responseInfo = adapter::decodeResponseHead(head);
     noteStatedLimit();
     noteTargetNotice();
+    if (!m_attempt->responseInfo.isOtherTarget)
+        m_context.partQuarantine.noteResponse(m_attempt->target, m_attempt->startedAt);
     if (m_attempt->step == Step::Prefill || m_attempt->responseInfo.isNotExecuted)
         return;
     if (!isSuccess(head.status) || !m_attempt->responseInfo.isSigned)
@@ -148,6 +150,8 @@
     std::string whole;
     for (const http1::StreamEvent& event : m_attempt->splitter.feed(bytes)) {
         m_attempt->events += 1;
+        if (event.id)
+            noteAnswerBegun();
         // A resumed run may begin with an event that the caller already has.
         if (event.id && m_lastEventId && *event.id <= *m_lastEventId)
             continue;
@@ -175,12 +179,8 @@
             { "leaving", m_attempt->responseInfo.notice.isLeaving ? "yes" : "" },
             { "pause_ms", pauseText(m_attempt->responseInfo.notice) },
             { "took_ms", millisecondsText(since(m_attempt->startedAt)) } });
-    const bool isRun = m_attempt->step != Step::Prefill;
-    if (isRun && outcome == Outcome::Unknown && end == channels::ExchangeEnd::Broken)
-        m_context.crashQuarantine.notePossibleCrash(fingerprint(), m_attempt->target);
-    const bool hasRun = outcome == Outcome::Served || outcome == Outcome::FailedByTarget;
-    if (isRun && hasRun && !m_context.crashQuarantine.empty())
-        m_context.crashQuarantine.noteCompleted(fingerprint());
+    if (m_attempt->step != Step::Prefill)
+        noteRunEnded(outcome, end);
     afterAttempt(outcome);
 }
 
@@ -201,6 +201,10 @@
     // A success without a signature is not the target's response.
     if (!m_attempt->responseInfo.isSigned || m_attempt->splitter.hasPartialEvent())
         return Outcome::Unknown;
+    // Without a length, a stream that has only begun looks like a complete one.
+    if (m_attempt->isRelayed && m_attempt->events == 0
+        && m_attempt->head->framing == http1::BodyFraming::UntilClose)
+        return Outcome::Unknown;
     return Outcome::Served;
 }
 
--- a/apps/gateway/VersionRecords.cpp
+++ b/apps/gateway/VersionRecords.cpp
@@ -13,8 +13,6 @@
     constexpr Milliseconds MinWindow { 15000 };
     constexpr int TimeoutsPerWindow = 2;
     constexpr Milliseconds UpdateInterval { 500 };
-    /** Time that each gateway leaves to the one before it in the order of writers. */
-    constexpr Milliseconds WriterDelay { 1500 };
     constexpr Milliseconds CallTimeout { 1000 };
     /** Until the next call, also after one that failed. */
     constexpr Milliseconds WritePause { 2000 };
@@ -125,7 +123,7 @@
             continue;
         }
         const SteadyTime since = m_staleSince.try_emplace(pool, now).first->second;
-        if (now >= m_nextWriteAt && isOwnTurn(pool, since)) {
+        if (now >= m_nextWriteAt && m_peers.isOwnTurn(pool.text(), since)) {
             m_nextWriteAt = now + WritePause;
             write(pool, versions);
         }
@@ -164,17 +162,6 @@
     return versions;
 }
 
-bool VersionRecords::isOwnTurn(const PoolId& pool, SteadyTime staleSince) const
-{
-    const std::vector<EntryId> gateways = m_peers.gateways();
-    const std::vector<EntryId> writers
-        = firstByRendezvousRank(gateways, pool.text(), gateways.size());
-    const auto own = std::find(writers.begin(), writers.end(), m_peers.id());
-    if (own == writers.end())
-        return false;
-    return steadyNow() - staleSince >= (own - writers.begin()) * WriterDelay;
-}
-
 void VersionRecords::write(const PoolId& pool, const std::set<SoftwareVersion>& versions)
 {
     const auto record = m_records.find(pool);
--- a/apps/gateway/VersionRecords.h
+++ b/apps/gateway/VersionRecords.h
@@ -38,8 +38,6 @@
     std::set<PoolId> poolsOfResumableStreams() const;
     /** @return what the record of a pool should name. */
     std::set<SoftwareVersion> versionsToRecord(const PoolId& pool);
-    /** @return whether it is this gateway's turn to write a record that should have changed. */
-    bool isOwnTurn(const PoolId& pool, SteadyTime staleSince) const;
     void write(const PoolId& pool, const std::set<SoftwareVersion>& versions);
 
     GatewayContext& m_context;
--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -2,6 +2,7 @@
 
 #include "conditions/Conditions.h"
 #include "dispatch/Dispatch.h"
+#include "quarantine/Quarantine.h"
 #include "roles/Roles.h"
 #include "streams/Streams.h"
 
@@ -71,6 +72,11 @@
     std::vector<conditions::LimitReport> limits;
     /** Targets that have announced in a response that they are leaving. */
     std::vector<fleet::Incarnation> leaving;
+    std::vector<quarantine::PartCrashReport> partCrashes;
+    /** Prompt parts that the sender has seen served although another gateway suspected them. */
+    std::vector<quarantine::PromptPartId> servedParts;
+    /** Crashes that did not happen: the engines have responded since. */
+    std::vector<quarantine::CrashKey> withdrawnCrashes;
 };
 
 /** @return the update as a MessagePack array. */
@@ -108,6 +114,9 @@
     void add(const DemandReport& report) { m_demands[report.pool] = report.demand; }
     void add(const conditions::LimitReport& report) { m_limits.push_back(report); }
     void addLeaving(const fleet::Incarnation& incarnation) { m_leaving.push_back(incarnation); }
+    void add(quarantine::PartCrashReport report) { m_partCrashes.push_back(std::move(report)); }
+    void addServed(const quarantine::PromptPartId& part) { m_servedParts.insert(part); }
+    void addWithdrawn(quarantine::CrashKey crash) { m_withdrawnCrashes.push_back(crash); }
     bool empty() const noexcept;
     /** Removes all reports. @return them as datagrams that fit into one network packet each. */
     std::vector<std::string> takeDatagrams(const EntryId& sender, UnixMillis startedAt);
@@ -123,6 +132,9 @@
     std::map<PoolId, roles::Demand> m_demands;
     std::vector<conditions::LimitReport> m_limits;
     std::vector<fleet::Incarnation> m_leaving;
+    std::vector<quarantine::PartCrashReport> m_partCrashes;
+    std::set<quarantine::PromptPartId> m_servedParts;
+    std::vector<quarantine::CrashKey> m_withdrawnCrashes;
     uint64_t m_lastSequenceNumber = 0;
 };
 
--- a/libs/peers/src/Codec.cpp
+++ b/libs/peers/src/Codec.cpp
@@ -19,10 +19,13 @@
     using LimitTuple = std::tuple<std::string, int64_t, bool, double, int64_t, int64_t, bool>;
     /** Target, start of its incarnation. */
     using IncarnationTuple = std::tuple<std::string, int64_t>;
+    /** Part, crashes. */
+    using PartCrashTuple = std::tuple<std::string, std::vector<int64_t>>;
     using UpdateTuple = std::tuple<std::string, int64_t, uint64_t, std::vector<LoadTuple>,
         std::vector<PartsTuple>, std::vector<std::string>, std::vector<CrashTuple>,
         std::vector<uint64_t>, std::vector<std::string>, std::vector<RoleTuple>,
-        std::vector<DemandTuple>, std::vector<LimitTuple>, std::vector<IncarnationTuple>>;
+        std::vector<DemandTuple>, std::vector<LimitTuple>, std::vector<IncarnationTuple>,
+        std::vector<PartCrashTuple>, std::vector<std::string>, std::vector<int64_t>>;
     /** Gateway, its address, engine, start of its incarnation, whether it should decode, planners.
      */
     using RoleRequestTuple
@@ -30,15 +33,24 @@
 
     EngineRole roleOf(bool decodes) { return decodes ? EngineRole::Decode : EngineRole::Prefill; }
 
-    std::vector<std::string> texts(const std::vector<TargetId>& targets)
+    template <typename Tag> std::vector<std::string> texts(const std::vector<Id<Tag>>& ids)
     {
         std::vector<std::string> list;
-        list.reserve(targets.size());
-        for (const TargetId& target : targets)
-            list.push_back(target.text());
+        list.reserve(ids.size());
+        for (const Id<Tag>& id : ids)
+            list.push_back(id.text());
         return list;
     }
 
+    std::vector<int64_t> valuesOf(const std::vector<quarantine::CrashKey>& crashes)
+    {
+        std::vector<int64_t> values;
+        values.reserve(crashes.size());
+        for (const quarantine::CrashKey crash : crashes)
+            values.push_back(crash.value());
+        return values;
+    }
+
 } // namespace
 
 std::string encode(const Update& update)
@@ -74,10 +86,14 @@
     std::vector<IncarnationTuple> leaving;
     for (const fleet::Incarnation& incarnation : update.leaving)
         leaving.emplace_back(incarnation.target.text(), incarnation.startedAt.value());
+    std::vector<PartCrashTuple> partCrashes;
+    for (const quarantine::PartCrashReport& report : update.partCrashes)
+        partCrashes.emplace_back(report.part.text(), valuesOf(report.crashes));
     return pack(UpdateTuple(update.sender.text(), update.senderStartedAt.value(),
         update.sequenceNumber, std::move(loads), std::move(parts), texts(update.replaced),
         std::move(crashes), update.cleared, texts(update.unreachable), std::move(roleTuples),
-        std::move(demands), std::move(limits), std::move(leaving)));
+        std::move(demands), std::move(limits), std::move(leaving), std::move(partCrashes),
+        texts(update.servedParts), valuesOf(update.withdrawnCrashes)));
 }
 
 Update decode(std::string_view datagram)
@@ -119,6 +135,13 @@
         }
         for (const auto& [target, startedAt] : std::get<12>(tuple))
             update.leaving.push_back({ TargetId(target), UnixMillis(startedAt) });
+        for (const auto& [part, crashes] : std::get<13>(tuple))
+            update.partCrashes.push_back(
+                { quarantine::PromptPartId(part), { crashes.begin(), crashes.end() } });
+        for (const std::string& part : std::get<14>(tuple))
+            update.servedParts.emplace_back(part);
+        for (const int64_t crash : std::get<15>(tuple))
+            update.withdrawnCrashes.emplace_back(crash);
         return update;
     } catch (const std::exception&) {
         // The exceptions of msgpack share no more specific base class.
--- a/libs/peers/src/Outbox.cpp
+++ b/libs/peers/src/Outbox.cpp
@@ -21,6 +21,9 @@
     constexpr size_t DemandsPerDatagram = 4;
     constexpr size_t LimitsPerDatagram = 4;
     constexpr size_t LeavingPerDatagram = 4;
+    constexpr size_t PartCrashesPerDatagram = 2;
+    constexpr size_t ServedPartsPerDatagram = 4;
+    constexpr size_t WithdrawnPerDatagram = 4;
 
     /** Removes up to @p maxCount reports from the front of a list. @return them. */
     template <typename Report>
@@ -46,7 +49,8 @@
 {
     return m_loads.empty() && m_parts.empty() && m_replaced.empty() && m_crashes.empty()
         && m_cleared.empty() && m_unreachable.empty() && m_roles.empty() && m_demands.empty()
-        && m_limits.empty() && m_leaving.empty();
+        && m_limits.empty() && m_leaving.empty() && m_partCrashes.empty() && m_servedParts.empty()
+        && m_withdrawnCrashes.empty();
 }
 
 std::vector<std::string> Outbox::takeDatagrams(const EntryId& sender, UnixMillis startedAt)
@@ -74,6 +78,10 @@
         }
         update.limits = takeFront(m_limits, LimitsPerDatagram);
         update.leaving = takeFront(m_leaving, LeavingPerDatagram);
+        update.partCrashes = takeFront(m_partCrashes, PartCrashesPerDatagram);
+        while (!m_servedParts.empty() && update.servedParts.size() < ServedPartsPerDatagram)
+            update.servedParts.push_back(m_servedParts.extract(m_servedParts.begin()).value());
+        update.withdrawnCrashes = takeFront(m_withdrawnCrashes, WithdrawnPerDatagram);
         datagrams.push_back(encode(update));
     }
     return datagrams;
--- a/libs/storefeed/include/storefeed/StoreFeed.h
+++ b/libs/storefeed/include/storefeed/StoreFeed.h
@@ -10,6 +10,8 @@
 inline constexpr std::string_view GatewayPrefix = "citronspoke/gateways/";
 /** Key prefix under which gateways keep the software versions of each pool, by its name. */
 inline constexpr std::string_view VersionPrefix = "citronspoke/versions/";
+/** Key under which gateways keep the quarantined prompt parts. */
+inline constexpr std::string_view QuarantineKey = "citronspoke/quarantine/parts";
 
 /** How the era of a response relates to the newest one known. */
 enum class EraOrder : uint8_t {
