--- a/libs/peers/tests/PeersTests.cpp
+++ b/libs/peers/tests/PeersTests.cpp
@@ -24,6 +24,18 @@
         TargetId("i-4"), UnixMillis(8), std::nullopt, Milliseconds(0), Milliseconds(0), false });
     for (int64_t index = 0; index < 10; ++index)
         outbox.addLeaving({ TargetId("i-0123456789-" + std::to_string(index)), UnixMillis(index) });
+    const std::string longPart(32, 'a');
+    for (int64_t index = 0; index < 9; ++index) {
+        quarantine::PartCrashReport report { quarantine::PromptPartId(longPart), {} };
+        for (int64_t crash = 0; crash < 16; ++crash)
+            report.crashes.emplace_back(std::numeric_limits<int64_t>::min() + crash);
+        outbox.add(std::move(report));
+        outbox.addServed(quarantine::PromptPartId(longPart + std::to_string(index)));
+        outbox.addWithdrawn(quarantine::CrashKey(-index));
+    }
+    std::vector<quarantine::PartCrashReport> partCrashes;
+    std::vector<quarantine::PromptPartId> servedParts;
+    std::vector<quarantine::CrashKey> withdrawn;
     std::vector<fleet::Incarnation> leaving;
     std::vector<conditions::LimitReport> limits;
     constexpr size_t PacketBytes = 1400;
@@ -42,6 +54,10 @@
         cleared += update.cleared.size();
         limits.insert(limits.end(), update.limits.begin(), update.limits.end());
         leaving.insert(leaving.end(), update.leaving.begin(), update.leaving.end());
+        partCrashes.insert(partCrashes.end(), update.partCrashes.begin(), update.partCrashes.end());
+        servedParts.insert(servedParts.end(), update.servedParts.begin(), update.servedParts.end());
+        withdrawn.insert(
+            withdrawn.end(), update.withdrawnCrashes.begin(), update.withdrawnCrashes.end());
         for (const CrashReport& report : update.crashes)
             cr_expect(report.crashes == std::vector<uint64_t>({ 7, 8, 9 }));
         for (const LoadReport& report : update.loads)
@@ -53,6 +69,14 @@
     cr_assert_eq(crashes, 70U);
     cr_assert_eq(cleared, 1U);
     cr_assert_eq(leaving.size(), 10U);
+    cr_assert_eq(partCrashes.size(), 9U);
+    cr_assert(partCrashes[8].part == quarantine::PromptPartId(longPart));
+    cr_assert(partCrashes[8].crashes.size() == 16U
+        && partCrashes[8].crashes[1].value() == std::numeric_limits<int64_t>::min() + 1);
+    cr_assert_eq(servedParts.size(), 9U);
+    cr_assert(servedParts[8] == quarantine::PromptPartId(longPart + "8"));
+    cr_assert_eq(withdrawn.size(), 9U);
+    cr_assert(withdrawn[8] == quarantine::CrashKey(-8));
     cr_assert(leaving[7] == (fleet::Incarnation { TargetId("i-0123456789-7"), UnixMillis(7) }));
     cr_assert_eq(limits.size(), 2U);
     cr_assert(limits[0].target == TargetId("i-3") && limits[0].targetStartedAt == UnixMillis(7));
