Prompt part tests: restore, operators, prefills, engines that are alive; streams without length

Change: four more tests of the gateway and three of streams that have neither length nor chunks. Without the check before each send, the withdrawal of crashes, the difference between a restore and a release, the release, or the rule for streams without events, one test fails each.

--- a/apps/gateway/tests/PromptPartTests.cpp
+++ b/apps/gateway/tests/PromptPartTests.cpp
@@ -19,6 +19,11 @@
 /** More than would crash all engines. */
 constexpr int ManyRequests = 12;
 
+const std::string RecordKey = "citronspoke/quarantine/parts";
+
+/** Several times the delay by which a gateway batches changes of the store. */
+constexpr Milliseconds AdoptionTime { 1000 };
+
 /** How the response of an engine ends when the engine crashes. */
 enum class CrashEnd : uint8_t {
     Reset,
@@ -87,6 +92,33 @@
     std::set<std::string> m_crashed;
 };
 
+/** Delays the responses to prefills of one attempt. */
+class PrefillGate {
+public:
+    void hold(const std::string& attempt)
+    {
+        std::lock_guard lock(m_mutex);
+        m_attempt = attempt;
+    }
+    void open()
+    {
+        std::lock_guard lock(m_mutex);
+        m_attempt.clear();
+    }
+    void prefill(const FakeRequest& request, FakeConnection& connection)
+    {
+        GatewayFixture::waitUntil([&] {
+            std::lock_guard lock(m_mutex);
+            return m_attempt.empty() || request.field("X-Attempt-Id") != m_attempt;
+        });
+        prefillPrompt(request, connection);
+    }
+
+private:
+    std::mutex m_mutex;
+    std::string m_attempt;
+};
+
 /** Gateways with one prefill engine and decode engines that crash on one part of a prompt. */
 class CrashFixture : public GatewayFixture {
 public:
@@ -95,7 +127,12 @@
     {
         addRoute("/s/", { "streaming", "llm", 5000, 3, true, true });
         declare(1);
-        addTarget("prefill", "llm", prefillPrompt, "prefill");
+        addTarget(
+            "prefill", "llm",
+            [gate = m_gate](const FakeRequest& request, FakeConnection& connection) {
+                gate->prefill(request, connection);
+            },
+            "prefill");
         for (size_t number = 1; number <= DecodeEngines; ++number) {
             const std::string id = "decode-" + std::to_string(number);
             addTarget(
@@ -116,21 +153,43 @@
             waitUntil([&] { return readiness(gateway) == 200; });
     }
 
-    /** Sends a request whose last part is its own. */
-    CallerResponse send(const std::string& middlePart, size_t gateway = 0)
+    /** @return a request whose last part is its own. */
+    std::string nextRequest(const std::string& middlePart)
     {
         const std::string attempt = "a" + std::to_string(++m_requests);
         const std::string parts
             = CommonPart + "," + middlePart + ",f" + std::to_string(m_requests) + ":260";
+        return requestText("POST", "/s/x", attempt,
+            "X-Model: m\r\nX-Token-Counts: 1460,80\r\nX-Prefix-Hash: " + parts + "\r\n", attempt);
+    }
+    std::string lastAttempt() const { return "a" + std::to_string(m_requests); }
+
+    CallerResponse send(const std::string& middlePart, size_t gateway = 0)
+    {
         Caller caller(callers(gateway));
-        caller.send(requestText("POST", "/s/x", attempt,
-            "X-Model: m\r\nX-Token-Counts: 1460,80\r\nX-Prefix-Hash: " + parts + "\r\n", attempt));
+        caller.send(nextRequest(middlePart));
         return caller.receive();
     }
+    /** Sends requests with the crashing part to all gateways in turn. */
+    void sendManyCrashing()
+    {
+        for (int request = 0; request < ManyRequests; ++request)
+            send(CrashingPart, static_cast<size_t>(request) % m_started);
+    }
+
+    std::string recordedParts()
+    {
+        const std::map<std::string, std::string> contents = store().contents();
+        const auto record = contents.find(RecordKey);
+        return record == contents.end() ? std::string() : record->second;
+    }
+    bool isRecorded() { return recordedParts().find("bad") != std::string::npos; }
 
+    PrefillGate& gate() { return *m_gate; }
     size_t crashes() const { return m_engines->crashes(); }
 
 private:
+    std::shared_ptr<PrefillGate> m_gate = std::make_shared<PrefillGate>();
     std::shared_ptr<CrashingEngines> m_engines;
     size_t m_started = 0;
     int m_requests = 0;
@@ -186,8 +245,7 @@
 {
     CrashFixture fixture;
     fixture.startReady(3);
-    for (int request = 0; request < ManyRequests; ++request)
-        fixture.send(CrashingPart, static_cast<size_t>(request % 3));
+    fixture.sendManyCrashing();
     for (size_t other = 0; other < 3; ++other)
         GatewayFixture::waitUntil([&] { return fixture.send(CrashingPart, other).status == 503U; });
     cr_assert_leq(fixture.crashes(), 5U, "The deployments allow five crashes.");
@@ -198,14 +256,8 @@
 {
     CrashFixture fixture;
     fixture.startReady(2);
-    for (int request = 0; request < ManyRequests; ++request)
-        fixture.send(CrashingPart, static_cast<size_t>(request % 2));
-    const auto isRecorded = [&fixture] {
-        const std::map<std::string, std::string> contents = fixture.store().contents();
-        return std::any_of(contents.begin(), contents.end(),
-            [](const auto& item) { return item.first.starts_with("citronspoke/quarantine/"); });
-    };
-    GatewayFixture::waitUntil(isRecorded);
+    fixture.sendManyCrashing();
+    GatewayFixture::waitUntil([&] { return fixture.isRecorded(); });
     fixture.killGateway(0);
     fixture.killGateway(1);
     fixture.startReady();
@@ -215,3 +267,105 @@
     // Engines that have crashed are still in the store, so that some requests fail at first.
     GatewayFixture::waitUntil([&] { return fixture.send(SoundPart, 2).status == 200U; });
 }
+
+// Guards against a quarantine that is lost with the store's newest writes.
+Test(prompt_parts, that_are_quarantined_are_recorded_again_after_a_restore)
+{
+    CrashFixture fixture;
+    fixture.startReady(2);
+    const std::shared_ptr<const fakes::FakeFleetStore::Copy> copy = fixture.store().copy();
+    fixture.sendManyCrashing();
+    GatewayFixture::waitUntil([&] { return fixture.isRecorded(); });
+    std::this_thread::sleep_for(AdoptionTime);
+    fixture.store().restore(*copy);
+    cr_assert_not(fixture.isRecorded());
+    GatewayFixture::waitUntil([&] { return fixture.isRecorded(); });
+    const size_t crashes = fixture.crashes();
+    for (size_t gateway = 0; gateway < 2; ++gateway)
+        cr_assert_eq(fixture.send(CrashingPart, gateway).status, 503U);
+    cr_assert_eq(fixture.crashes(), crashes);
+}
+
+// Guards against a quarantine that an operator cannot end.
+Test(prompt_parts, whose_record_an_operator_removes_run_again)
+{
+    CrashFixture fixture;
+    fixture.startReady(2);
+    fixture.sendManyCrashing();
+    GatewayFixture::waitUntil([&] { return fixture.isRecorded(); });
+    const size_t crashes = fixture.crashes();
+    fixture.store().remove(RecordKey);
+    GatewayFixture::waitUntil([&] {
+        fixture.send(CrashingPart, 0);
+        return fixture.crashes() > crashes;
+    });
+}
+
+// Guards against a decode that is sent although its part was quarantined during the prefill.
+Test(prompt_parts, that_are_quarantined_during_the_prefill_are_not_decoded)
+{
+    CrashFixture fixture;
+    fixture.startReady();
+    fixture.send(SoundPart);
+    Caller caller(fixture.callers());
+    const std::string request = fixture.nextRequest(CrashingPart);
+    const std::string attempt = fixture.lastAttempt();
+    fixture.gate().hold(attempt);
+    caller.send(request);
+    GatewayFixture::waitUntil([&] {
+        for (const SeenRequest& seen : fixture.seen()) {
+            if (seen.request.field("X-Attempt-Id") == attempt)
+                return true;
+        }
+        return false;
+    });
+    fixture.sendManyCrashing();
+    fixture.gate().open();
+    cr_assert_eq(caller.receive().status, 503U);
+    for (const SeenRequest& seen : fixture.seen())
+        cr_assert(seen.target == "prefill" || seen.request.field("X-Attempt-Id") != attempt);
+}
+
+// Guards against parts that are quarantined for connections that broke for another reason.
+Test(prompt_parts, in_runs_that_break_at_engines_that_are_alive_are_served)
+{
+    GatewayFixture fixture;
+    fixture.addRoute("/s/", { "streaming", "llm", 5000, 3, true, true });
+    fixture.declare(1);
+    fixture.addTarget("prefill", "llm", prefillPrompt, "prefill");
+    // Each engine breaks its first run with the part and goes on.
+    const std::shared_ptr<std::atomic<int>> breaks = std::make_shared<std::atomic<int>>(0);
+    for (const char* id : { "decode-1", "decode-2", "decode-3" }) {
+        fixture.addTarget(
+            id, "llm",
+            [breaks, hasBroken = std::make_shared<std::atomic<bool>>(false)](
+                const FakeRequest& request, FakeConnection& connection) {
+                const bool isNew = request.field("X-Prefix-Hash").find("91bd") != std::string::npos;
+                if (isNew && !hasBroken->exchange(true)) {
+                    *breaks += 1;
+                    connection.reset();
+                    return;
+                }
+                sendEvents(request, connection, 1, isNew && *breaks < 3 ? 0 : 4);
+                if (isNew && *breaks < 3)
+                    connection.reset();
+                else
+                    connection.send(http1::LastChunk);
+            },
+            "decode");
+    }
+    fixture.start();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
+    const auto send = [&fixture](const std::string& parts) {
+        return sendRequest(fixture,
+            requestText("POST", "/s/x", "a1",
+                "X-Model: m\r\nX-Token-Counts: 1460,80\r\nX-Prefix-Hash: " + parts + "\r\n"))
+            .status;
+    };
+    GatewayFixture::waitUntil([&] {
+        send("5c1e:800,91bd:400,f1:260");
+        return *breaks == 3;
+    });
+    GatewayFixture::waitUntil([&] { return send("5c1e:800,77aa:400,f2:260") == 200U; });
+    GatewayFixture::waitUntil([&] { return send("5c1e:800,91bd:400,f3:260") == 200U; });
+}
--- a/apps/gateway/tests/StreamTests.cpp
+++ b/apps/gateway/tests/StreamTests.cpp
@@ -221,3 +221,51 @@
     }
     cr_assert_eq(prefillCount, 8U);
 }
+
+namespace {
+
+/** Sends a stream without length or chunks, which ends with its connection. */
+void streamUntilClose(
+    const FakeRequest& request, FakeConnection& connection, const std::string& events)
+{
+    http1::Headers headers;
+    headers.add("X-Attempt-Id", request.field("X-Attempt-Id"));
+    headers.add("X-Server-Stamp", "stamp");
+    headers.add("Content-Type", "text/event-stream");
+    connection.send(http1::composeResponse(200, "OK", headers));
+    connection.send(events);
+    connection.close();
+}
+
+CallerResponse responseToStreamUntilClose(const std::string& events)
+{
+    GatewayFixture fixture;
+    const GatewayFixture::Script script
+        = [events](const FakeRequest& request, FakeConnection& connection) {
+              streamUntilClose(request, connection, events);
+          };
+    startEngines(fixture, false, prefillPrompt, script, script);
+    return sendRequest(fixture, requestText("POST", "/s/x", "a1", PromptLines));
+}
+
+} // namespace
+
+Test(streams, without_length_are_complete_at_the_end_of_the_connection)
+{
+    const CallerResponse response = responseToStreamUntilClose(eventsText(1, 3));
+    cr_assert(response.isComplete);
+    cr_assert(response.body == eventsText(1, 3));
+}
+
+Test(streams, without_length_that_end_inside_an_event_break_visibly)
+{
+    const CallerResponse response
+        = responseToStreamUntilClose(eventsText(1, 2) + "id: 3\ndata: to");
+    cr_assert_not(response.isComplete);
+    cr_assert(response.body == eventsText(1, 2));
+}
+
+Test(streams, without_length_or_events_break_visibly)
+{
+    cr_assert_not(responseToStreamUntilClose("").isComplete);
+}
