--- a/tests/soak/RunHistory.cpp
+++ b/tests/soak/RunHistory.cpp
@@ -64,6 +64,38 @@
         [result](const auto& item) { return item.second == result; }));
 }
 
+void RunHistory::recordPartCrash(const std::string& part)
+{
+    std::lock_guard lock(m_mutex);
+    m_crashingParts[part].crashes.push_back(steadyNow());
+}
+
+void RunHistory::recordCrashingArrival(
+    const std::string& part, const std::string& attempt, bool isInTouch)
+{
+    constexpr size_t AllowedCrashes = 5;
+    constexpr size_t AllowedLateArrivals = 3;
+    bool isTooLate = false;
+    {
+        std::lock_guard lock(m_mutex);
+        CrashingPart& known = m_crashingParts[part];
+        isTooLate = isInTouch && known.crashes.size() >= AllowedCrashes
+            && steadyNow() - known.crashes[AllowedCrashes - 1] > ContactTime
+            && ++known.lateArrivals > AllowedLateArrivals;
+    }
+    if (isTooLate)
+        recordViolation("budget", attempt + " reached an engine with the part " + part);
+}
+
+size_t RunHistory::partCrashes() const
+{
+    std::lock_guard lock(m_mutex);
+    size_t count = 0;
+    for (const auto& [part, known] : m_crashingParts)
+        count += known.crashes.size();
+    return count;
+}
+
 void RunHistory::recordViolation(std::string_view promise, const std::string& detail)
 {
     const std::string time = std::to_string(age().count());
--- a/tests/soak/RunHistory.h
+++ b/tests/soak/RunHistory.h
@@ -50,6 +50,19 @@
     size_t runs(const std::string& attempt) const;
     /** @return how many attempts ended with this result. */
     size_t results(CallerResult result) const;
+    /** Records that a prompt part has crashed an engine. */
+    void recordPartCrash(const std::string& part);
+    /**
+     * Records that a request with a part that crashes engines has reached one; a violation when the
+     * part must be known by then.
+     * @param isInTouch whether the gateway has run for ContactTime.
+     */
+    void recordCrashingArrival(const std::string& part, const std::string& attempt, bool isInTouch);
+    /** @return how many engines prompt parts have crashed. */
+    size_t partCrashes() const;
+    /** A gateway that has run for this long must have followed a fault before, as the deployments
+     * require it. */
+    static constexpr Milliseconds ContactTime { 3000 };
     /** @param promise the violated guarantee, in one word. */
     void recordViolation(std::string_view promise, const std::string& detail);
     /** Checks the at-most-once guarantee, once no request is in flight. */
@@ -66,6 +79,13 @@
     std::map<std::string, SentAttempt> m_sent;
     std::map<std::string, CallerResult> m_results;
     std::vector<std::string> m_violations;
+    /** What happened to requests with a part that crashes engines. */
+    struct CrashingPart {
+        std::vector<SteadyTime> crashes;
+        /** Arrivals later than ContactTime after the last crash that is allowed. */
+        size_t lateArrivals = 0;
+    };
+    std::map<std::string, CrashingPart> m_crashingParts;
     std::pair<size_t, size_t> m_resumes;
 };
 
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -36,8 +36,11 @@
 
     bool isStream(Work work) { return work == Work::Stream || work == Work::SingleStream; }
 
+    /** The parts of sound prompts, as their header field lists them. */
+    constexpr std::string_view SoundParts = "5c1e:60,91bd:40";
+
     std::string requestText(std::string_view path, const std::string& attempt, bool hasPrompt,
-        const std::string& extraLines = {})
+        const std::string& extraLines = {}, std::string_view parts = SoundParts)
     {
         std::string text = "POST ";
         text.append(path).append(" HTTP/1.1\r\nHost: ").append(fakes::RouteHost);
@@ -46,8 +49,9 @@
         // Callers may not set this field, so the gateway must remove it.
         text.append("\r\nX-Pin-Ms: 5\r\n").append(extraLines);
         if (hasPrompt)
-            text.append(
-                "X-Model: m\r\nX-Token-Counts: 100,8\r\nX-Prefix-Hash: 5c1e:60,91bd:40\r\n");
+            text.append("X-Model: m\r\nX-Token-Counts: 100,8\r\nX-Prefix-Hash: ")
+                .append(parts)
+                .append("\r\n");
         const std::string body = "body of " + attempt;
         text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
         return text.append(body);
@@ -187,6 +191,18 @@
     return result;
 }
 
+void SoakCaller::sendCrashing(const fleet::Address& gateway, const std::string& part)
+{
+    const std::string attempt = nextAttempt(Work::Stream);
+    const std::string parts = "5c1e:60," + part + ":30,own" + std::to_string(m_requests) + ":10";
+    m_history.recordSent(attempt, gateway.text());
+    if (connectTo(gateway)
+        && send(requestText(requestPath(Work::Stream), attempt, true, {}, parts)))
+        receive();
+    else
+        close();
+}
+
 SoakCaller::BrokenStream SoakCaller::streamAfter(
     const std::string& attempt, const Response& response) const
 {
--- a/tests/soak/SoakCaller.h
+++ b/tests/soak/SoakCaller.h
@@ -36,6 +36,11 @@
      */
     CallerResult sendRequest(
         const fleet::Address& gateway, Work work, bool isPlannedOnly, bool leavesEarly);
+    /**
+     * Sends a stream request whose prompt has a part that crashes engines, and ignores how it ends;
+     * such requests have no other part in common.
+     */
+    void sendCrashing(const fleet::Address& gateway, const std::string& part);
     /** @return whether the last stream broke off after its first event. */
     bool hasBrokenStream() const noexcept { return m_brokenStream.has_value(); }
     /** Resumes that stream. */
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -21,6 +21,8 @@
     bool isPlannedOnly = false;
     /** Also checks guarantees with a time limit; for a machine that is not busy. */
     bool checksTimeLimits = false;
+    /** Requests with parts that crash engines are sent, and all gateways are killed once. */
+    bool hasCrashingParts = false;
     /** Folder for settings files and logs. */
     std::string folder;
     /** Folder of the programs. */
@@ -48,6 +50,7 @@
 
     /** Starts the targets, the gateways and the sidecars. */
     void start();
+    void killAllGateways();
     /** @return a random fault or planned change that the options allow. */
     Fault drawFault(std::mt19937_64& random);
 
--- a/tests/soak/SoakFleetFaults.cpp
+++ b/tests/soak/SoakFleetFaults.cpp
@@ -140,6 +140,12 @@
     }
 }
 
+void SoakFleet::killAllGateways()
+{
+    for (GatewayPlace& place : m_gateways)
+        place.process->kill();
+}
+
 Fault SoakFleet::processFault(std::mt19937_64& random)
 {
     SoakProcess& process = randomProcess(random);
@@ -149,12 +155,7 @@
     case 1:
         return { "kill " + process.name(), [&process] { process.kill(); }, {}, {} };
     case 2:
-        return { "kill all gateways",
-            [this] {
-                for (GatewayPlace& place : m_gateways)
-                    place.process->kill();
-            },
-            {}, {} };
+        return { "kill all gateways", [this] { killAllGateways(); }, {}, {} };
     default:
         return { "pause " + process.name(), [&process] { process.pause(); },
             [&process] { process.resume(); }, duration };
--- a/tests/soak/SoakTarget.cpp
+++ b/tests/soak/SoakTarget.cpp
@@ -85,6 +85,7 @@
 SoakTarget::~SoakTarget()
 {
     m_server.reset();
+    m_restarter = {};
     m_context.handles.dropEngine(m_id);
 }
 
@@ -150,6 +151,10 @@
 {
     const std::string& path = request.head.target;
     constexpr std::string_view HandlePath = "/kv-handle/";
+    if (m_isCrashed) {
+        connection.reset();
+        return;
+    }
     if (path == "/report") {
         report(connection);
     } else if (path == "/order") {
@@ -296,10 +301,19 @@
     headers.add("Content-Type", "text/event-stream");
     headers.add("Transfer-Encoding", "chunked");
     connection.send(http1::composeResponse(200, "OK", headers));
+    const size_t crashes = m_crashes;
+    if (const std::optional<std::string> part = crashingPartOf(request)) {
+        std::this_thread::sleep_for(EventGap);
+        crash(*part);
+    }
     const std::string last = request.field("Last-Event-Id");
     for (uint64_t event = last.empty() ? 1 : std::stoull(last) + 1; event <= EventsPerStream;
          ++event) {
         std::this_thread::sleep_for(EventGap);
+        if (m_crashes != crashes) {
+            connection.reset();
+            return;
+        }
         connection.send(http1::composeChunk(eventText(attempt, event, m_version)));
         if (!connection.isOpen())
             return;
--- a/tests/soak/SoakTarget.h
+++ b/tests/soak/SoakTarget.h
@@ -31,6 +31,9 @@
     std::optional<Milliseconds> pause;
 };
 
+/** Prompt parts whose ids begin so crash each engine that begins to write an answer on them. */
+inline constexpr std::string_view CrashingPartPrefix = "bad";
+
 /** Maps the KV cache handles of all engines to their attempts. Any thread may call. */
 class HandleTable {
 public:
@@ -124,6 +127,11 @@
     bool takeHandle(const fakes::FakeRequest& request, fakes::FakeConnection& connection);
     void handleOrder(const fakes::FakeRequest& request, fakes::FakeConnection& connection);
     void report(fakes::FakeConnection& connection) const;
+    /** Records the arrival of a request with a part that crashes engines. @return that part. */
+    std::optional<std::string> crashingPartOf(const fakes::FakeRequest& request);
+    /** Ends this incarnation; another one under the same id follows. */
+    void crash(const std::string& part);
+    void restart(const std::stop_token& stop);
     bool drawWithProbability(double share);
 
     TargetContext m_context;
@@ -145,7 +153,11 @@
     nlohmann::json m_lastOrder;
     int64_t m_orders = 0;
     std::atomic<bool> m_isChangingRole { false };
+    std::atomic<bool> m_isCrashed { false };
+    /** Incarnations under this id that have crashed on a prompt part. */
+    std::atomic<size_t> m_crashes { 0 };
     std::atomic<size_t> m_running { 0 };
+    std::jthread m_restarter;
     std::unique_ptr<fakes::FakeHttpServer> m_server;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -19,6 +19,8 @@
 ABSL_FLAG(uint64_t, applications, 2, "Applications.");
 ABSL_FLAG(uint64_t, callers, 6, "Callers that send requests at the same time.");
 ABSL_FLAG(bool, timed, false, "Also check guarantees with a time limit.");
+ABSL_FLAG(bool, crashing_parts, false,
+    "Also send prompts with parts that crash engines, and kill all gateways at half time.");
 ABSL_FLAG(bool, keep, false, "Keep the logs of runs that pass.");
 
 namespace {
@@ -54,6 +56,8 @@
         for (size_t number = 1; number <= m_options.callers; ++number)
             threads.emplace_back([this, number] { sendRequests(number); });
         threads.emplace_back([this] { probeDeclarations(); });
+        if (m_options.hasCrashingParts)
+            threads.emplace_back([this] { sendCrashingParts(); });
         injectFaults();
         awaitService("after", m_options.checksTimeLimits ? RecoveryLimit : HangLimit);
         awaitAnnouncements();
@@ -71,6 +75,8 @@
              << m_history.results(CallerResult::Failed) << ", broken "
              << m_history.results(CallerResult::Broken) << ", streams resumed by callers "
              << m_history.resumes().first << ", of these served " << m_history.resumes().second;
+        if (m_options.hasCrashingParts)
+            text << ", engines crashed by prompt parts " << m_history.partCrashes();
         return text.str();
     }
 
@@ -100,7 +106,14 @@
                 running.erase(running.begin() + static_cast<ptrdiff_t>(index));
             }
         };
+        const SteadyTime halfTime = end - m_options.faultDuration / 2;
+        bool killsAll = m_options.hasCrashingParts;
         while (steadyNow() < end) {
+            if (killsAll && steadyNow() >= halfTime) {
+                killsAll = false;
+                logStep("kill all gateways");
+                m_fleet.killAllGateways();
+            }
             Fault fault = m_fleet.drawFault(m_random);
             logStep(fault.name);
             fault.begin();
@@ -125,8 +138,10 @@
         size_t gateway = number % m_fleet.gateways();
         while (!m_isStopping) {
             const Work work = static_cast<Work>(random() % 4);
-            const CallerResult result = caller.sendRequest(m_fleet.callerAddress(gateway), work,
-                m_options.isPlannedOnly, random() % LeavesEarlyOneIn == 0);
+            // Crashes cut streams, as do kills of gateways.
+            const bool mayCut = !m_options.isPlannedOnly || m_options.hasCrashingParts;
+            const CallerResult result = caller.sendRequest(
+                m_fleet.callerAddress(gateway), work, !mayCut, random() % LeavesEarlyOneIn == 0);
             const bool isResumed = caller.hasBrokenStream();
             for (size_t tries = 0; caller.hasBrokenStream() && tries < ResumesPerStream; ++tries) {
                 caller.resumeStream(m_fleet.callerAddress(random() % m_fleet.gateways()));
@@ -140,6 +155,21 @@
         }
     }
 
+    /** Sends prompts with two parts that crash engines, the second one from half time on. */
+    void sendCrashingParts()
+    {
+        constexpr Milliseconds Pause { 60 };
+        SoakCaller caller("crash", m_history);
+        std::mt19937_64 random(m_options.seed);
+        const SteadyTime halfTime = steadyNow() + m_options.faultDuration / 2;
+        while (!m_isStopping) {
+            const bool isSecond = steadyNow() > halfTime && random() % 2 == 0;
+            caller.sendCrashing(m_fleet.callerAddress(random() % m_fleet.gateways()),
+                std::string(CrashingPartPrefix) + (isSecond ? "2" : "1"));
+            std::this_thread::sleep_for(Pause);
+        }
+    }
+
     /** Checks which declaration each gateway has in force. */
     void probeDeclarations()
     {
@@ -223,6 +253,7 @@
     options.callers = absl::GetFlag(FLAGS_callers);
     options.faultDuration = Milliseconds(absl::GetFlag(FLAGS_length_ms));
     options.isPlannedOnly = seed % 2 == 0;
+    options.hasCrashingParts = absl::GetFlag(FLAGS_crashing_parts);
     options.checksTimeLimits = absl::GetFlag(FLAGS_timed);
     options.programs = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
     options.folder = (std::filesystem::temp_directory_path()
