--- a/apps/gateway/PartQuarantine.cpp
+++ b/apps/gateway/PartQuarantine.cpp
@@ -111,6 +111,7 @@
     for (const auto& [part, state] : m_parts.quarantined())
         parts.insert(part);
     std::vector<PartCrashReport> reports;
+    reports.reserve(parts.size());
     for (const PromptPartId& part : parts)
         reports.push_back(m_parts.reportOf(part));
     return reports;
--- a/libs/quarantine/tests/CrashModel.cpp
+++ b/libs/quarantine/tests/CrashModel.cpp
@@ -1,6 +1,7 @@
 #include "CrashModel.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace citronspoke::quarantine::tests {
@@ -125,7 +126,7 @@
             constexpr double MsPerSecond = 1000;
             const double gap = std::exponential_distribution<double>(
                 m_pattern.requestsPerSecond / MsPerSecond)(m_random);
-            after(Milliseconds(static_cast<int64_t>(gap + 0.5)), [this] { arrive(); });
+            after(Milliseconds(std::lround(gap)), [this] { arrive(); });
         }
 
         void send(const RequestPointer& request, size_t gateway)
