A prompt part is quarantined only where prompts without it are served

Cause: all prompts of the soak share one part; while gateways were killed again and again and engines ended, runs with that part broke at three engines, at gateways that had not seen it served since their start, and nothing could clear it afterwards. Change: a gateway quarantines a part by itself only when it has seen another prompt served lately; reports say whether their sender has quarantined the part. Why it works: where all prompts have the part, or none is served, breaks tell nothing about the part.

--- a/apps/gateway/PartQuarantine.cpp
+++ b/apps/gateway/PartQuarantine.cpp
@@ -18,6 +18,10 @@
     constexpr Milliseconds ShortestRestart { 1000 };
     /** A quarantine may still end when other gateways have seen the part served. */
     constexpr Milliseconds UnconfirmedTime { 2000 };
+    /** A quarantine is resent in each call for this long. */
+    constexpr Milliseconds FrequentResendTime { 10000 };
+    /** Of the later calls, one in so many resends all quarantines. */
+    constexpr uint64_t CallsPerFullResend = 60;
 
 } // namespace
 
@@ -42,12 +46,18 @@
 
 void PartQuarantine::noteServed(std::span<const PromptPartId> parts)
 {
-    for (const PromptPartId& part : m_parts.noteServed(parts, steadyNow())) {
+    const CrashingParts::ServedOutcome outcome = m_parts.noteServed(parts, steadyNow());
+    for (const PromptPartId& part : outcome.cleared) {
         m_reportedOnce.erase(part);
         if (m_publisher.served)
             m_publisher.served(part);
     }
-    logChanges("served");
+    for (const PromptPartId& part : outcome.quarantined) {
+        if (m_publisher.crash)
+            m_publisher.crash(m_parts.reportOf(part));
+    }
+    if (!outcome.cleared.empty() || !outcome.quarantined.empty())
+        logChanges("served");
 }
 
 void PartQuarantine::noteResponse(const fleet::TargetRecord& engine, SteadyTime sentAt)
@@ -75,7 +85,7 @@
     const std::optional<PromptPartId> part = m_parts.findBlocking(parts);
     if (!part)
         return std::nullopt;
-    const SteadyTime::duration age = steadyNow() - m_parts.quarantined().at(*part).since;
+    const SteadyTime::duration age = steadyNow() - m_parts.quarantinedSince(*part);
     const SteadyTime::duration remaining
         = age < UnconfirmedTime ? UnconfirmedTime - age : CrashingParts::QuarantineLifetime - age;
     return Hold { *part, std::chrono::duration_cast<Milliseconds>(remaining) };
@@ -108,8 +118,12 @@
 std::vector<PartCrashReport> PartQuarantine::takeReportsToResend()
 {
     std::set<PromptPartId> parts = std::exchange(m_reportedOnce, {});
-    for (const auto& [part, state] : m_parts.quarantined())
-        parts.insert(part);
+    const bool resendsAll = ++m_resends % CallsPerFullResend == 0;
+    const SteadyTime now = steadyNow();
+    for (const auto& [part, state] : m_parts.quarantined()) {
+        if (resendsAll || now - state.since < FrequentResendTime)
+            parts.insert(part);
+    }
     std::vector<PartCrashReport> reports;
     reports.reserve(parts.size());
     for (const PromptPartId& part : parts)
--- a/apps/gateway/PartQuarantine.h
+++ b/apps/gateway/PartQuarantine.h
@@ -21,8 +21,6 @@
 
     void setPublisher(Publisher publisher) { m_publisher = std::move(publisher); }
 
-    /** @return whether no part is suspected or quarantined. */
-    bool empty() const noexcept { return m_parts.empty(); }
     /** The connection to an engine broke before the first event of a run. */
     void noteBroken(const fleet::TargetRecord& engine,
         std::span<const quarantine::PromptPartId> parts, const RequestId& request);
@@ -44,7 +42,7 @@
     void mergeServed(const quarantine::PromptPartId& part);
     void mergeWithdrawn(quarantine::CrashKey crash);
     /** @return reports that peers may not have received: each new suspicion once, each quarantine
-     * in every call. */
+     * in its first seconds and now and then afterwards, when the store has it too. */
     std::vector<quarantine::PartCrashReport> takeReportsToResend();
 
     /** The store's record no longer names a part. */
@@ -67,6 +65,7 @@
     /** Recent crashes, and when this gateway learned of each. */
     std::map<quarantine::CrashKey, SteadyTime> m_recentCrashes;
     std::set<quarantine::PromptPartId> m_loggedQuarantines;
+    uint64_t m_resends = 0;
 };
 
 } // namespace citronspoke::gateway
--- a/libs/peers/src/Codec.cpp
+++ b/libs/peers/src/Codec.cpp
@@ -19,8 +19,8 @@
     using LimitTuple = std::tuple<std::string, int64_t, bool, double, int64_t, int64_t, bool>;
     /** Target, start of its incarnation. */
     using IncarnationTuple = std::tuple<std::string, int64_t>;
-    /** Part, crashes. */
-    using PartCrashTuple = std::tuple<std::string, std::vector<int64_t>>;
+    /** Part, crashes, whether it is quarantined. */
+    using PartCrashTuple = std::tuple<std::string, std::vector<int64_t>, bool>;
     using UpdateTuple = std::tuple<std::string, int64_t, uint64_t, std::vector<LoadTuple>,
         std::vector<PartsTuple>, std::vector<std::string>, std::vector<CrashTuple>,
         std::vector<uint64_t>, std::vector<std::string>, std::vector<RoleTuple>,
@@ -88,7 +88,8 @@
         leaving.emplace_back(incarnation.target.text(), incarnation.startedAt.value());
     std::vector<PartCrashTuple> partCrashes;
     for (const quarantine::PartCrashReport& report : update.partCrashes)
-        partCrashes.emplace_back(report.part.text(), valuesOf(report.crashes));
+        partCrashes.emplace_back(
+            report.part.text(), valuesOf(report.crashes), report.isQuarantined);
     return pack(UpdateTuple(update.sender.text(), update.senderStartedAt.value(),
         update.sequenceNumber, std::move(loads), std::move(parts), texts(update.replaced),
         std::move(crashes), update.cleared, texts(update.unreachable), std::move(roleTuples),
@@ -135,9 +136,9 @@
         }
         for (const auto& [target, startedAt] : std::get<12>(tuple))
             update.leaving.push_back({ TargetId(target), UnixMillis(startedAt) });
-        for (const auto& [part, crashes] : std::get<13>(tuple))
-            update.partCrashes.push_back(
-                { quarantine::PromptPartId(part), { crashes.begin(), crashes.end() } });
+        for (const auto& [part, crashes, isQuarantined] : std::get<13>(tuple))
+            update.partCrashes.push_back({ quarantine::PromptPartId(part),
+                { crashes.begin(), crashes.end() }, isQuarantined });
         for (const std::string& part : std::get<14>(tuple))
             update.servedParts.emplace_back(part);
         for (const int64_t crash : std::get<15>(tuple))
--- a/libs/quarantine/include/quarantine/Quarantine.h
+++ b/libs/quarantine/include/quarantine/Quarantine.h
@@ -31,9 +31,11 @@
     PromptPartId part;
     /** All such crashes that the sender knows of. */
     std::vector<CrashKey> crashes;
+    /** The sender has quarantined the part. */
+    bool isQuarantined = false;
 };
 
-/** Parts with an event in the recent past, in bounded memory. */
+/** Parts of prompts with an event in the recent past, in bounded memory. */
 class ServedParts {
 public:
     /**
@@ -41,8 +43,10 @@
      * @param capacity most parts; beyond it they are forgotten sooner, the oldest first.
      */
     ServedParts(Milliseconds lifetime, size_t capacity);
-    void note(const PromptPartId& part, SteadyTime now);
+    void note(std::span<const PromptPartId> parts, SteadyTime now);
     bool contains(const PromptPartId& part, SteadyTime now) const;
+    /** @return whether no prompt was noted lately, also none without shared parts. */
+    bool empty(SteadyTime now) const;
 
 private:
     struct PartHash {
@@ -54,6 +58,7 @@
     /** Parts that were noted within half of the lifetime. */
     struct Generation {
         SteadyTime begin;
+        bool hasPrompts = false;
         std::unordered_set<PromptPartId, PartHash> parts;
     };
 
@@ -98,11 +103,15 @@
      */
     std::vector<PromptPartId> noteCrash(
         CrashKey crash, std::span<const PromptPartId> parts, SteadyTime now);
-    /**
-     * A run got its first event.
-     * @return those of its parts that were suspected or quarantined until now.
-     */
-    std::vector<PromptPartId> noteServed(std::span<const PromptPartId> parts, SteadyTime now);
+    /** What the first event of a run has changed. */
+    struct ServedOutcome {
+        /** Parts of the prompt that were suspected or quarantined until now. */
+        std::vector<PromptPartId> cleared;
+        /** Other parts that are quarantined from now on. */
+        std::vector<PromptPartId> quarantined;
+    };
+    /** A run got its first event. */
+    ServedOutcome noteServed(std::span<const PromptPartId> parts, SteadyTime now);
     /** Another gateway has seen a part served. @return whether it was suspected or quarantined. */
     bool noteServedElsewhere(const PromptPartId& part, SteadyTime now);
     /** The engine is alive: its connection broke for another reason. @return whether it counted. */
@@ -128,6 +137,8 @@
      *         parts that the prompt does not have do not explain all of its crashes.
      */
     std::optional<PromptPartId> findBlocking(std::span<const PromptPartId> parts) const;
+    /** @param part is quarantined. */
+    SteadyTime quarantinedSince(const PromptPartId& part) const;
     std::map<PromptPartId, QuarantinedPart> quarantined() const;
     /** @return the report of a part for the other gateways. */
     PartCrashReport reportOf(const PromptPartId& part) const;
@@ -141,6 +152,9 @@
 
     /** @return whether the crash did not count against the part before. */
     bool count(const PromptPartId& part, CrashKey crash, SteadyTime now);
+    /** Quarantines the part when it has enough crashes. @return whether it did. */
+    bool quarantineIfDue(Record& record, SteadyTime now);
+    static void quarantine(Record& record, SteadyTime now);
     bool isToBlame(const Record& record, std::span<const PromptPartId> parts) const;
     bool isWithdrawn(CrashKey crash) const;
     void makeRoom();
--- a/libs/quarantine/src/CrashingParts.cpp
+++ b/libs/quarantine/src/CrashingParts.cpp
@@ -78,14 +78,28 @@
     const bool isNew
         = record.crashes.size() < MaxCrashesPerPart && record.crashes.insert(crash).second;
     if (!record.quarantinedAt && isNew) {
-        const bool isEnough = record.crashes.size() >= CrashesToQuarantine;
-        if (isEnough)
-            record.quarantinedAt = now;
-        record.expires = now + (isEnough ? QuarantineLifetime : SuspicionLifetime);
+        record.expires = now + SuspicionLifetime;
+        quarantineIfDue(record, now);
     }
     return isNew;
 }
 
+bool CrashingParts::quarantineIfDue(Record& record, SteadyTime now)
+{
+    // Prompts that were served lately do not have the part: it would not be suspected.
+    if (record.quarantinedAt || record.crashes.size() < CrashesToQuarantine
+        || m_servedHere.empty(now))
+        return false;
+    quarantine(record, now);
+    return true;
+}
+
+void CrashingParts::quarantine(Record& record, SteadyTime now)
+{
+    record.quarantinedAt = now;
+    record.expires = now + QuarantineLifetime;
+}
+
 void CrashingParts::makeRoom()
 {
     if (m_records.size() < MaxRecords)
@@ -97,21 +111,25 @@
         [&rank](const auto& left, const auto& right) { return rank(left) < rank(right); }));
 }
 
-std::vector<PromptPartId> CrashingParts::noteServed(
+CrashingParts::ServedOutcome CrashingParts::noteServed(
     std::span<const PromptPartId> parts, SteadyTime now)
 {
-    std::vector<PromptPartId> cleared;
+    ServedOutcome outcome;
+    m_servedHere.note(parts, now);
     for (const PromptPartId& part : parts) {
-        m_servedHere.note(part, now);
         if (m_records.erase(part) > 0)
-            cleared.push_back(part);
+            outcome.cleared.push_back(part);
     }
-    return cleared;
+    for (auto& [part, record] : m_records) {
+        if (quarantineIfDue(record, now))
+            outcome.quarantined.push_back(part);
+    }
+    return outcome;
 }
 
 bool CrashingParts::noteServedElsewhere(const PromptPartId& part, SteadyTime now)
 {
-    m_servedElsewhere.note(part, now);
+    m_servedElsewhere.note(std::span(&part, 1), now);
     return m_records.erase(part) > 0;
 }
 
@@ -151,6 +169,9 @@
         if (!isWithdrawn(crash) && count(report.part, crash, now))
             outcome.newCrashes.push_back(crash);
     }
+    const auto known = m_records.find(report.part);
+    if (report.isQuarantined && known != m_records.end() && !known->second.quarantinedAt)
+        quarantine(known->second, now);
     return outcome;
 }
 
@@ -194,6 +215,13 @@
     return std::nullopt;
 }
 
+SteadyTime CrashingParts::quarantinedSince(const PromptPartId& part) const
+{
+    const auto found = m_records.find(part);
+    require(found != m_records.end() && found->second.quarantinedAt, "part is quarantined");
+    return *found->second.quarantinedAt;
+}
+
 std::map<PromptPartId, QuarantinedPart> CrashingParts::quarantined() const
 {
     std::map<PromptPartId, QuarantinedPart> parts;
@@ -208,8 +236,9 @@
 {
     const auto found = m_records.find(part);
     if (found == m_records.end())
-        return { part, {} };
-    return { part, { found->second.crashes.begin(), found->second.crashes.end() } };
+        return { part, {}, false };
+    return { part, { found->second.crashes.begin(), found->second.crashes.end() },
+        found->second.quarantinedAt.has_value() };
 }
 
 } // namespace citronspoke::quarantine
