Fault soak: what prompts with crashing parts share

Cause: a comment said that they share nothing else; they share the first part of all prompts. Change: the comment. Measured: builds; no behaviour changes.

--- a/tests/soak/SoakCaller.h
+++ b/tests/soak/SoakCaller.h
@@ -37,8 +37,8 @@
     CallerResult sendRequest(
         const fleet::Address& gateway, Work work, bool isPlannedOnly, bool leavesEarly);
     /**
-     * Sends a stream request whose prompt has a part that crashes engines, and ignores how it ends;
-     * such requests have no other part in common.
+     * Sends a stream request whose prompt has a part that crashes engines, after the part that all
+     * prompts share, and ignores how it ends.
      */
     void sendCrashing(const fleet::Address& gateway, const std::string& part);
     /** @return whether the last stream broke off after its first event. */
