Types shared by organisations, duties and shares

Cause: several parts of the coming change are built side by side and need the same types. Change: the declaration has organisations, public routes and scaling limits; a request knows its organisation; the placement of a prompt knows whether its organisation is over its share. Nothing sets or reads them yet.

--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -18,6 +18,8 @@
 {
 }
 
+void GatewayContext::noteRunBegun(const OrganisationId& /*organisation*/) { }
+
 void GatewayContext::noteStarted(const TargetId& target, const dispatch::Load& load)
 {
     directory.noteStarted(target, load);
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -48,6 +48,11 @@
     /** Null until the gateway is constructed. */
     StreamRegistry* streams = nullptr;
 
+    /**
+     * A target has begun to run a caller's attempt; called once for each attempt.
+     * @param organisation empty where the deployment declares none.
+     */
+    void noteRunBegun(const OrganisationId& organisation);
     /** Work at a target begins or ends; the new load is published to the other gateways. */
     void noteStarted(const TargetId& target, const dispatch::Load& load);
     void noteFinished(const TargetId& target, const dispatch::Load& load);
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -223,6 +223,9 @@
     std::shared_ptr<const dispatch::RouteTable> m_routes;
     const fleet::Route* m_route = nullptr;
     const fleet::PoolTraits* m_pool = nullptr;
+    /** That of the caller's key; empty where the deployment declares no organisations, and for
+     * public routes without a known key. */
+    OrganisationId m_organisation;
     SteadyTime m_deadline;
     channels::Timer m_deadlineTimer;
     std::unique_ptr<Attempt> m_attempt;
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -332,6 +332,8 @@
     Milliseconds timeLeft { 0 };
     /** Where the request arrived. */
     ZoneId zone;
+    /** Its organisation uses more than its share of the pool. */
+    bool isOverShare = false;
 };
 
 /**
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -2,6 +2,8 @@
 
 #include "model/Model.h"
 
+#include <array>
+
 /** The operators' declaration and the targets' records and reports, in types of our own. */
 namespace citronspoke::fleet {
 
@@ -68,6 +70,8 @@
     bool carriesPrompts = false;
     /** Whether a broken stream may be resumed at another target. */
     bool isResumable = false;
+    /** Whether callers need no key of an organisation. */
+    bool isPublic = false;
     std::vector<PoolShare> pools;
 
     /** @return whether a request may be sent again after a target may have run it. */
@@ -90,6 +94,14 @@
     Milliseconds roleChangeTime { 0 };
 };
 
+/** Limits on the number of engines that a pool may be ordered to have in each availability zone. */
+struct Scaling {
+    uint32_t minEngines = 0;
+    uint32_t maxEngines = 0;
+    /** Time from an order until a new engine serves. */
+    Milliseconds bootTime { 0 };
+};
+
 /** A declared pool of targets. */
 struct PoolTraits {
     PoolId id;
@@ -99,6 +111,19 @@
     uint32_t connectionLimit = 0;
     /** Set for pools of model engines. */
     std::optional<EngineTraits> engine;
+    /** Set for pools whose number of engines this system orders. */
+    std::optional<Scaling> scaling;
+};
+
+/** SHA-256 of a caller's key; the keys themselves are not kept. */
+using KeyDigest = std::array<uint8_t, 32>;
+
+/** A declared organisation, whose callers identify themselves by keys. */
+struct Organisation {
+    OrganisationId id;
+    std::vector<KeyDigest> keyDigests;
+    /** Takes precedence over the priority of the route; 0 is the most urgent. */
+    std::optional<uint32_t> priority;
 };
 
 /** Limits on the requests and connections of callers. */
@@ -115,6 +140,8 @@
     ConfigRevision revision;
     std::vector<Route> routes;
     std::vector<PoolTraits> pools;
+    /** None where callers need no keys. */
+    std::optional<std::vector<Organisation>> organisations;
     CallerLimits limits;
 
     /** @return null when no such pool is declared. */
