--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -142,6 +142,8 @@
     std::vector<PoolTraits> pools;
     /** None where callers need no keys. */
     std::optional<std::vector<Organisation>> organisations;
+    /** Positions, from 0, of the organisations that were skipped because they are malformed. */
+    std::vector<size_t> malformedOrganisations;
     CallerLimits limits;
 
     /** @return null when no such pool is declared. */
