Check callers' keys at the gateway before each send

Cause: where organisations are declared, only callers with a key of one of them are served, and a removed key must be refused within the apply time, also for requests that wait, are retried or resume a stream. Change: the request handler checks the key against the newest declaration when the request arrives and before anything is sent. Targets get X-Tenant in place of the key. The organisation's priority goes before the route's. Adoption of declarations moves to DeclarationAdoption, the lists of gateways to PeerGroupMembers.cpp. Status pages can state further fields and 204. The age of the store's last response (storeAge) is separate from the age of the declaration, because versions of streams depend on the store only.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -46,6 +46,7 @@
                   onStoreChange(change, recovery);
               } })
     , m_peers(m_context, m_store, fleet::requireAddress(settings.operatorAddress))
+    , m_declarations(m_context, [this] { startCacheInventory(); })
     , m_versions(m_context, m_peers, m_store)
     , m_quarantineRecord(m_context, m_peers, m_store)
     , m_streams(m_context, m_peers, m_versions, fleet::requireAddress(settings.operatorAddress))
@@ -64,11 +65,12 @@
 {
     m_context.peers = &m_peers;
     m_context.streams = &m_streams;
-    m_context.declarationAge = [this] {
+    m_context.storeAge = [this] {
         const std::optional<SteadyTime> last = m_storeFeed.lastResponse();
         const SteadyTime::duration age = last ? steadyNow() - *last : std::chrono::hours(1);
         return std::chrono::duration_cast<Milliseconds>(age);
     };
+    m_context.declarationAge = m_context.storeAge;
 }
 
 void Gateway::start()
@@ -123,32 +125,8 @@
 
 void Gateway::onDeclaration(const adapter::StoreItem& item)
 {
-    if (item.key != adapter::DeclarationKey)
-        return;
-    try {
-        fleet::Declaration declaration = adapter::decodeDeclaration(item.value);
-        const ConfigRevision revision = declaration.revision;
-        const ConfigRevision known
-            = m_context.routes ? m_context.routes->declaration().revision : ConfigRevision(0);
-        // A late or repeated change, or a restored store, must not bring back a declaration that
-        // was replaced.
-        if (revision <= known) {
-            if (revision < known)
-                telemetry::logWarning("config", "Kept the declaration; the store has an older one.",
-                    { { "revision", std::to_string(known.value()) },
-                        { "stored", std::to_string(revision.value()) } });
-            return;
-        }
-        m_context.routes = std::make_shared<dispatch::RouteTable>(std::move(declaration));
-        telemetry::logInfo("config", "Adopted a declaration.",
-            { { "revision", std::to_string(revision.value()) },
-                { "before", std::to_string(known.value()) },
-                { "routes", std::to_string(m_context.routes->declaration().routes.size()) } });
-        startCacheInventory();
-    } catch (const adapter::DocumentUnreadable& unreadable) {
-        telemetry::logError("config", "Kept the declaration; the new one is unreadable.",
-            { { "cause", unreadable.describe() } });
-    }
+    if (item.key == adapter::DeclarationKey)
+        m_declarations.offer(item.value, "store");
 }
 
 std::optional<fleet::TargetRecord> Gateway::decodeTarget(const adapter::StoreItem& item) const
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include "CacheInventory.h"
 #include "CallerConnection.h"
+#include "DeclarationAdoption.h"
 #include "PeerGroup.h"
 #include "QuarantineRecord.h"
 #include "RoleCoordinator.h"
@@ -50,6 +51,7 @@
     /** Follows all keys: a watch for each kind of key would cost as many calls each. */
     storefeed::StoreFeed m_storeFeed;
     PeerGroup m_peers;
+    DeclarationAdoption m_declarations;
     VersionRecords m_versions;
     QuarantineRecord m_quarantineRecord;
     StreamRegistry m_streams;
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -4,6 +4,7 @@
 #include "PartQuarantine.h"
 #include "conditions/Conditions.h"
 #include "dispatch/Dispatch.h"
+#include "organisations/Organisations.h"
 #include "roles/Roles.h"
 #include "settings/Settings.h"
 #include "storefeed/StoreFeed.h"
@@ -40,7 +41,12 @@
     PartQuarantine partQuarantine;
     /** Null until the operators' declaration is known. */
     std::shared_ptr<const dispatch::RouteTable> routes;
-    /** Time since the store last confirmed the declaration; an hour when it never has. */
+    /** The keys of the same declaration; null where it has no organisations. */
+    std::shared_ptr<const organisations::KeyDirectory> keys;
+    /** Time since the store last responded; an hour when it never has. */
+    std::function<Milliseconds()> storeAge;
+    /** Time since the store, or another gateway in contact with it, last confirmed the declaration;
+     * an hour when none has. */
     std::function<Milliseconds()> declarationAge;
     bool isStopping = false;
     /** The other gateways; null until reports can be sent to them. */
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -22,8 +22,6 @@
     constexpr Milliseconds DemandLifetime { 2000 };
     /** Longer than the users' window for retries, so that no part of the budget is spent twice. */
     constexpr Milliseconds GatewayCountRetention { 15000 };
-    /** Time that each gateway leaves to the one before it in the order of writers. */
-    constexpr Milliseconds WriterDelay { 1500 };
 
     EntryId announcedGateway(std::string_view key)
     {
@@ -328,24 +326,6 @@
     return total;
 }
 
-std::vector<EntryId> PeerGroup::gateways() const
-{
-    std::vector<EntryId> ids;
-    for (const auto& [id, peer] : m_peers)
-        ids.push_back(id);
-    return ids;
-}
-
-bool PeerGroup::isOwnTurn(std::string_view key, SteadyTime since) const
-{
-    const std::vector<EntryId> all = gateways();
-    const std::vector<EntryId> writers = firstByRendezvousRank(all, key, all.size());
-    const auto own = std::find(writers.begin(), writers.end(), m_id);
-    if (own == writers.end())
-        return false;
-    return steadyNow() - since >= (own - writers.begin()) * WriterDelay;
-}
-
 void PeerGroup::requestRole(
     const fleet::Address& sidecar, const roles::RoleChange& change, size_t planners)
 {
--- a/apps/gateway/PeerGroup.h
+++ b/apps/gateway/PeerGroup.h
@@ -43,6 +43,8 @@
     roles::Demand totalDemand(const PoolId& pool, SteadyTime now) const;
     /** @return the ids of all gateways; this one's own included once it is announced. */
     std::vector<EntryId> gateways() const;
+    /** @return the addresses of the other gateways. */
+    std::vector<fleet::Address> otherGateways() const;
     /**
      * One gateway writes a key that all keep in the store; the next ones do so later if it does
      * not.
--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -112,6 +112,8 @@
         return false;
     }
     m_route = m_routes->match(m_callerInfo.host, m_request.head.target);
+    if (endWhenKeyRefused())
+        return false;
     if (!m_route) {
         // An older declaration may lack a route that the operators have added.
         if (m_context.declarationAge() > m_context.settings.applyTime)
@@ -132,6 +134,9 @@
 
 void RequestHandler::sendNext()
 {
+    // A declaration without the key may have been adopted while the request waited or ran.
+    if (endWhenKeyRefused())
+        return;
     // A quarantine may have begun while the request waited, or since its prompt was prefilled.
     if (endWhenQuarantined())
         return;
@@ -190,7 +195,7 @@
     for (dispatch::TargetState* state : states)
         state->isConnected = m_context.targetConnections.hasIdle(
             { state->record.address, state->record.id.text() });
-    const dispatch::PromptGoal goal { m_route->priority, m_route->latencyObjective - age(),
+    const dispatch::PromptGoal goal { priority(), m_route->latencyObjective - age(),
         m_context.zone };
     const dispatch::PromptPlacement placement = dispatch::placePrompt(readyTargets(states),
         cachingEngines, *m_callerInfo.prompt, goal, m_context.prefixCacheIndex,
@@ -249,8 +254,10 @@
     fields.target = target.id;
     fields.timeLeft = std::max(Milliseconds(1), timeLeft());
     fields.lastEventId = m_lastEventId;
+    if (m_hidesKey)
+        fields.organisation = m_organisation;
     if (m_pool->engine && !fields.priority)
-        fields.priority = std::min(m_route->priority, LowestPriority);
+        fields.priority = std::min(priority(), LowestPriority);
     m_context.noteStarted(target.id, load);
     if (!std::exchange(m_isTurnBooked, false))
         m_context.pacer.book(target.id, m_attempt->startedAt);
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -101,6 +101,17 @@
     using TargetStates = std::vector<dispatch::TargetState*>;
 
     bool findRoute();
+    /**
+     * Refuses the request unless the newest declaration allows it: its route is public, or its key
+     * belongs to an organisation. Called before each send.
+     * @return whether it was refused.
+     */
+    bool endWhenKeyRefused();
+    /** @return whether the newest declaration requires no key for the request. */
+    bool isPublic() const;
+    void refuseKey(std::string_view reason, std::string_view cause, uint32_t status);
+    /** @return the priority of the organisation, or else of the route. */
+    uint32_t priority() const;
     /** Sends a stream that the caller resumes once it is known at which version it began. */
     void resumeStream();
     void sendNext();
@@ -226,6 +237,13 @@
     /** That of the caller's key; empty where the deployment declares no organisations, and for
      * public routes without a known key. */
     OrganisationId m_organisation;
+    std::optional<uint32_t> m_organisationPriority;
+    /** Of the key that the request carries; none when that cannot be a valid one. */
+    std::optional<fleet::KeyDigest> m_keyDigest;
+    bool m_carriesKey = false;
+    /** A declaration in force since the request arrived has organisations, so targets get the
+     * organisation in place of the key. */
+    bool m_hidesKey = false;
     SteadyTime m_deadline;
     channels::Timer m_deadlineTimer;
     std::unique_ptr<Attempt> m_attempt;
--- a/apps/gateway/RequestHandlerOutcomes.cpp
+++ b/apps/gateway/RequestHandlerOutcomes.cpp
@@ -20,6 +20,8 @@
         switch (status) {
         case BadRequest:
             return "Bad Request";
+        case Unauthorized:
+            return "Unauthorized";
         case NotFound:
             return "Not Found";
         case BadGateway:
@@ -103,6 +105,8 @@
     http1::Headers headers;
     if (status == Unavailable)
         headers.add("Retry-After", secondsText(retryAfter));
+    if (status == Unauthorized)
+        headers.add("WWW-Authenticate", "Token");
     m_writer->respond(status, reasonOf(status), headers, {});
     finish("refused", status, cause);
 }
--- a/apps/gateway/RequestHandlerTurns.cpp
+++ b/apps/gateway/RequestHandlerTurns.cpp
@@ -93,7 +93,7 @@
         = m_hasBegunResponse ? m_route->eventGapObjective : m_route->latencyObjective - age();
     const Milliseconds longest
         = std::clamp(left / TurnWaitDivisor, Milliseconds(0), LongestTurnWait);
-    return turn.at - steadyNow() <= longest / (1 + m_route->priority);
+    return turn.at - steadyNow() <= longest / (1 + priority());
 }
 
 bool RequestHandler::awaitTurn(const TargetStates& states)
--- a/apps/gateway/VersionRecords.cpp
+++ b/apps/gateway/VersionRecords.cpp
@@ -201,7 +201,7 @@
 streams::VersionView VersionRecords::viewOf(const PoolId& pool)
 {
     followTargets();
-    const bool isCurrent = m_context.declarationAge() <= m_context.settings.applyTime;
+    const bool isCurrent = m_context.storeAge() <= m_context.settings.applyTime;
     return m_histories[pool].view(steadyNow(), window(), isCurrent);
 }
 
--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -39,11 +39,28 @@
     m_routes.push_back(fakes::routeDocument(prefix, options));
 }
 
-void GatewayFixture::declare(int version)
+void GatewayFixture::setOrganisation(
+    const std::string& name, const std::vector<std::string>& keys, std::optional<int> priority)
 {
-    m_store.put("op/config", fakes::declarationText(version, m_routes));
+    m_organisations[name] = { { "name", name }, { "apiKeys", keys } };
+    if (priority)
+        m_organisations[name]["priority"] = *priority;
 }
 
+std::string GatewayFixture::declarationText(int version) const
+{
+    const std::string text = fakes::declarationText(version, m_routes);
+    if (m_organisations.is_null())
+        return text;
+    nlohmann::json document = nlohmann::json::parse(text);
+    document["tenants"] = nlohmann::json::array();
+    for (const auto& organisation : m_organisations)
+        document["tenants"].push_back(organisation);
+    return document.dump();
+}
+
+void GatewayFixture::declare(int version) { m_store.put("op/config", declarationText(version)); }
+
 void GatewayFixture::addTarget(const std::string& id, const std::string& service, Script script,
     const std::string& role, const std::string& version, int64_t startedAt)
 {
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -25,8 +25,15 @@
     ~GatewayFixture();
 
     void addRoute(const std::string& prefix, const RouteOptions& options);
+    /** Sets an organisation of the next declarations and its keys. */
+    void setOrganisation(const std::string& name, const std::vector<std::string>& keys,
+        std::optional<int> priority = std::nullopt);
+    /** The next declarations have no organisations. */
+    void removeOrganisations() { m_organisations = nullptr; }
     /** Writes the declaration with the routes added so far. */
     void declare(int version);
+    /** @return the document that declare() writes. */
+    std::string declarationText(int version) const;
     /**
      * @param role empty for an application.
      * @param version of the target's software.
@@ -84,6 +91,8 @@
 
     fakes::FakeFleetStore m_store;
     nlohmann::json m_routes = nlohmann::json::array();
+    /** By name; null while the declarations have no organisations. */
+    nlohmann::json m_organisations;
     mutable std::mutex m_mutex;
     std::vector<SeenRequest> m_seen;
     std::map<std::string, std::map<std::string, int>> m_cachedParts;
--- a/fakes/fleet/FakeDocuments.cpp
+++ b/fakes/fleet/FakeDocuments.cpp
@@ -10,7 +10,8 @@
         { "routeKind", options.kind }, { "timeoutMs", options.timeoutMs },
         { "targetLatencyMs", 500 }, { "priority", 1 }, { "service", options.service },
         { "maxAttempts", options.attempts }, { "sticky", options.carriesPrompts },
-        { "resumable", options.isResumable }, { "targetGapMs", 300 } };
+        { "resumable", options.isResumable }, { "public", options.isPublic },
+        { "targetGapMs", 300 } };
 }
 
 std::string declarationText(int version, const Json& routes)
--- a/fakes/fleet/FakeDocuments.h
+++ b/fakes/fleet/FakeDocuments.h
@@ -18,6 +18,7 @@
     int attempts = 2;
     bool isResumable = false;
     bool carriesPrompts = false;
+    bool isPublic = false;
 };
 
 /** @return a route in the JSON form that operators write. */
--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -244,7 +244,10 @@
         uint32_t status = 200;
         std::string contentType = "text/plain";
         std::string body;
+        /** Further fields of the response. */
+        http1::Headers headers {};
     };
+    /** Receives the path with its query. */
     using Handler = std::function<Page(std::string_view path)>;
 
     /** @throws ListenFailed when the address cannot be bound. */
--- a/libs/channels/src/StatusServer.cpp
+++ b/libs/channels/src/StatusServer.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+    constexpr uint32_t NoContent = 204;
+
     /** Parses the requests of one connection and responds to them. */
     class PageConnection final {
     public:
@@ -42,10 +44,14 @@
         void respond()
         {
             const StatusServer::Page page = m_handler(m_path);
-            http1::Headers headers;
-            headers.add("Content-Type", page.contentType);
-            headers.add("Content-Length", std::to_string(page.body.size()));
-            const std::string_view reason = page.status == 200 ? "OK" : "Service Unavailable";
+            http1::Headers headers = page.headers;
+            if (page.status != NoContent) {
+                headers.add("Content-Type", page.contentType);
+                headers.add("Content-Length", std::to_string(page.body.size()));
+            }
+            std::string_view reason = page.status == 200 ? "OK" : "Service Unavailable";
+            if (page.status == NoContent)
+                reason = "No Content";
             m_connection->write(http1::composeResponse(page.status, reason, headers) + page.body);
         }
 
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -285,6 +285,9 @@
     /** From this time after a target first stated a request limit, the limit must be kept. */
     Milliseconds limitNoticeTime { 3000 };
     RetryLimits retries;
+    /** Keys are no longer accepted once the declaration was not confirmed for revokeTime. */
+    bool refusesUnconfirmedKeys = false;
+    Milliseconds revokeTime { 5000 };
     /** The whole system starts for the first time, so no engine has cached prompt parts yet. */
     bool isFirstStart = false;
 };
