Decode large responses of the store on a thread of their own

Change: StoreFeed decodes responses of 32 KiB and more on a worker thread that posts the result back; smaller ones are decoded at once as before. A restore of the store drops the response that is being decoded.

--- a/libs/storefeed/include/storefeed/StoreFeed.h
+++ b/libs/storefeed/include/storefeed/StoreFeed.h
@@ -80,6 +80,7 @@
 };
 
 class RangeFollower;
+class ResponseDecoder;
 
 /**
  * Follows all keys under a prefix: reads the range once and then watches it.
@@ -124,17 +125,18 @@
 
 private:
     void sendRequest();
-    void onPage(const StoreResponse& response);
-    void onWatch(const StoreResponse& response);
+    void onResponse(bool isRange, const StoreResponse& response);
+    void onPage(adapter::RangePage page);
+    void onWatch(adapter::WatchResult result, adapter::StoreEra era);
     void onRestored();
     void recordResponse();
     void scheduleRetry(std::string_view cause);
-    void send(const adapter::Call& call, Milliseconds timeout,
-        void (StoreFeed::*handler)(const StoreResponse&));
+    void send(const adapter::Call& call, Milliseconds timeout, bool isRange);
 
     StoreClient& m_client;
     Options m_options;
     Handlers m_handlers;
+    std::unique_ptr<ResponseDecoder> m_decoder;
     channels::Timer m_timer;
     std::shared_ptr<void> m_call;
     std::unique_ptr<RangeFollower> m_follower;
--- a/libs/storefeed/src/StoreFeed.cpp
+++ b/libs/storefeed/src/StoreFeed.cpp
@@ -1,4 +1,5 @@
 #include "RangeFollower.h"
+#include "ResponseDecoder.h"
 
 #include "telemetry/Telemetry.h"
 
@@ -32,6 +33,7 @@
     : m_client(client)
     , m_options(options)
     , m_handlers(std::move(handlers))
+    , m_decoder(std::make_unique<ResponseDecoder>(loop))
     , m_timer(loop)
     , m_follower(std::make_unique<RangeFollower>())
 {
@@ -42,39 +44,52 @@
 
 void StoreFeed::start() { sendRequest(); }
 
-void StoreFeed::send(const adapter::Call& call, Milliseconds timeout,
-    void (StoreFeed::*handler)(const StoreResponse&))
+void StoreFeed::send(const adapter::Call& call, Milliseconds timeout, bool isRange)
 {
     m_call = m_client.call(
-        call, timeout, [this, handler](const std::optional<StoreResponse>& response) {
+        call, timeout, [this, isRange](const std::optional<StoreResponse>& response) {
             // The finished call lives until the handler returns, which may start the next call.
             const std::shared_ptr<void> finished = std::exchange(m_call, nullptr);
-            if (!response) {
+            if (response)
+                onResponse(isRange, *response);
+            else
                 scheduleRetry("No response.");
-                return;
-            }
-            try {
-                (this->*handler)(*response);
-            } catch (const Error& error) {
-                scheduleRetry(error.describe());
-            }
         });
 }
 
+void StoreFeed::onResponse(bool isRange, const StoreResponse& response)
+{
+    const ResponseDecoder::Kind kind
+        = isRange ? ResponseDecoder::Kind::Range : ResponseDecoder::Kind::Watch;
+    m_decoder->decode(kind, response, [this](ResponseDecoder::Result result) {
+        if (!result.value) {
+            scheduleRetry(result.problem);
+            return;
+        }
+        try {
+            if (adapter::RangePage* page = std::get_if<adapter::RangePage>(&*result.value))
+                onPage(std::move(*page));
+            else
+                onWatch(std::get<adapter::WatchResult>(std::move(*result.value)), result.era);
+        } catch (const Error& error) {
+            scheduleRetry(error.describe());
+        }
+    });
+}
+
 void StoreFeed::sendRequest()
 {
     const RangeFollower::Request request = m_follower->nextRequest();
     if (const RangeFollower::ReadPage* page = std::get_if<RangeFollower::ReadPage>(&request))
-        send(adapter::rangeCall(m_options.prefix, page->after), RequestTimeout, &StoreFeed::onPage);
+        send(adapter::rangeCall(m_options.prefix, page->after), RequestTimeout, true);
     else
         send(adapter::watchCall(m_options.prefix, std::get<RangeFollower::Watch>(request).after,
                  m_options.longPollTimeout),
-            m_options.longPollTimeout + RequestTimeout, &StoreFeed::onWatch);
+            m_options.longPollTimeout + RequestTimeout, false);
 }
 
-void StoreFeed::onPage(const StoreResponse& response)
+void StoreFeed::onPage(adapter::RangePage page)
 {
-    adapter::RangePage page = adapter::decodeRange(response.status, response.body, response.era);
     recordResponse();
     const std::optional<std::vector<adapter::StoreItem>> range
         = m_follower->onPage(std::move(page));
@@ -83,17 +98,15 @@
     sendRequest();
 }
 
-void StoreFeed::onWatch(const StoreResponse& response)
+void StoreFeed::onWatch(adapter::WatchResult result, adapter::StoreEra era)
 {
-    adapter::WatchResult result
-        = adapter::decodeWatch(response.status, response.body, response.era);
     recordResponse();
     const std::optional<std::vector<adapter::KeyChange>> changes
         = m_follower->onWatch(std::move(result));
     if (!changes) {
         telemetry::logWarning("store",
             "The store no longer has the change history; reading the range again.",
-            { { "prefix", m_options.prefix }, { "era", std::to_string(response.era.value()) } });
+            { { "prefix", m_options.prefix }, { "era", std::to_string(era.value()) } });
         sendRequest();
         return;
     }
@@ -108,6 +121,7 @@
 void StoreFeed::onRestored()
 {
     m_call.reset();
+    m_decoder->cancel();
     m_follower->startOver();
     const SteadyTime now = steadyNow();
     m_recovery = { now + ReregistrationGrace, now + OutdatedItemLifetime };
