Read revoke_fail_closed and revoke_time_ms

Cause: the platform states whether keys remain valid at a gateway whose declaration is not confirmed; earlier platforms state neither bound.

--- a/libs/settings/src/GatewayAndSidecarSettings.cpp
+++ b/libs/settings/src/GatewayAndSidecarSettings.cpp
@@ -10,7 +10,7 @@
 
     constexpr double MsPerSecond = 1000;
 
-    constexpr std::array<KeyRule, 15> GatewayRules {
+    constexpr std::array<KeyRule, 17> GatewayRules {
         KeyRule { "", "id", ValueKind::Text, true },
         KeyRule { "", "zone", ValueKind::Text, true },
         KeyRule { "", "callers", ValueKind::Address, true },
@@ -25,6 +25,8 @@
         KeyRule { "", "drain_time_ms", ValueKind::Integer, true, 100, 3600000 },
         KeyRule { "", "limit_notice_ms", ValueKind::Integer, true, 0, 3600000 },
         KeyRule { "", "sidecar_port", ValueKind::Integer, true, 1, 65535 },
+        KeyRule { "", "revoke_fail_closed", ValueKind::Flag, false },
+        KeyRule { "", "revoke_time_ms", ValueKind::Integer, false, 0, 3600000 },
         KeyRule { "", "first_start", ValueKind::Flag, false },
     };
 
@@ -77,6 +79,9 @@
     gateway.retries.share = reader.real("retry_share", 0);
     gateway.retries.fixedPart = reader.real("retry_fixed_part", 0);
     gateway.retries.window = readSeconds(reader, "retry_window_s");
+    gateway.refusesUnconfirmedKeys = reader.flag("revoke_fail_closed", false);
+    gateway.revokeTime
+        = Milliseconds(reader.number<int64_t>("revoke_time_ms", gateway.revokeTime.count()));
     gateway.isFirstStart = reader.flag("first_start", false);
     return gateway;
 }
--- a/libs/settings/tests/GatewaySettingsTests.cpp
+++ b/libs/settings/tests/GatewaySettingsTests.cpp
@@ -38,6 +38,18 @@
     cr_assert(settings.limitNoticeTime == Milliseconds(4000));
 }
 
+// Guards earlier deployments, whose platform does not state these settings.
+Test(gateway_settings, the_settings_for_unconfirmed_keys_may_be_absent)
+{
+    const GatewaySettings absent = parseGatewaySettings({ "gateway.toml", Gateway });
+    cr_assert(!absent.refusesUnconfirmedKeys);
+    cr_assert(absent.revokeTime == Milliseconds(5000));
+    const GatewaySettings stated = parseGatewaySettings(
+        { "gateway.toml", Gateway + "revoke_fail_closed = true\nrevoke_time_ms = 7000\n" });
+    cr_assert(stated.refusesUnconfirmedKeys);
+    cr_assert(stated.revokeTime == Milliseconds(7000));
+}
+
 Test(gateway_settings, reports_missing_invalid_and_unknown_keys_together)
 {
     std::string text = Gateway;
