Exchange the declaration between gateways

Cause: a gateway that the store refuses, or does not respond to, must still apply a declaration within 9 s, without keys on the network between gateways. Change: such a gateway asks another one every 500 ms for GET /declaration, whose document has digests in place of keys. The other one states the age of its own contact with the store, and only a current contact confirms the declaration. A gateway that has started asks one other gateway too, because a restored store may have an older document. Documents of 16 KiB and more are prepared on a worker thread and adopted in order of revision. Keys that cannot be confirmed are refused where the settings say so.

--- a/apps/gateway/DeclarationAdoption.cpp
+++ b/apps/gateway/DeclarationAdoption.cpp
@@ -4,6 +4,14 @@
 
 namespace citronspoke::gateway {
 
+namespace {
+
+    /** Smaller documents are prepared within a millisecond. */
+    constexpr size_t LargeDocumentBytes = 16384;
+    constexpr size_t QueuedDocuments = 4;
+
+} // namespace
+
 PreparedDeclaration prepareDeclaration(std::string_view document)
 {
     fleet::Declaration declaration = adapter::decodeDeclaration(document);
@@ -11,6 +19,8 @@
     if (declaration.organisations)
         prepared.keys
             = std::make_shared<const organisations::KeyDirectory>(*declaration.organisations);
+    prepared.documentWithoutKeys = std::make_shared<const std::string>(
+        prepared.keys ? adapter::declarationWithoutKeys(document) : std::string(document));
     prepared.routes = std::make_shared<const dispatch::RouteTable>(std::move(declaration));
     return prepared;
 }
@@ -18,20 +28,87 @@
 DeclarationAdoption::DeclarationAdoption(GatewayContext& context, std::function<void()> onAdopted)
     : m_context(context)
     , m_onAdopted(std::move(onAdopted))
+    , m_self(std::make_shared<DeclarationAdoption*>(this))
+    , m_jobs(QueuedDocuments)
 {
 }
 
-void DeclarationAdoption::offer(std::string document, std::string_view source)
+DeclarationAdoption::~DeclarationAdoption()
+{
+    m_jobs.close();
+    if (m_worker.joinable())
+        m_worker.join();
+}
+
+void DeclarationAdoption::offer(
+    std::string document, std::string_view source, std::function<void()> whenInForce)
+{
+    const std::shared_ptr<Job> job = std::make_shared<Job>();
+    job->document = std::move(document);
+    job->source = source;
+    job->whenInForce = std::move(whenInForce);
+    if (job->document.size() >= LargeDocumentBytes) {
+        queue(job);
+        return;
+    }
+    prepare(*job);
+    onPrepared(*job);
+}
+
+void DeclarationAdoption::queue(std::shared_ptr<Job> job)
+{
+    if (!m_worker.joinable())
+        m_worker = std::jthread([this] { runWorker(); });
+    // Declarations may come faster than they can be prepared; only the newest one matters then.
+    m_waiting = std::move(job);
+    std::shared_ptr<Job> next = m_waiting;
+    if (m_jobs.tryPush(std::move(next)))
+        m_waiting.reset();
+}
+
+void DeclarationAdoption::runWorker()
+{
+    constexpr Milliseconds Wait { 1000 };
+    std::deque<std::shared_ptr<Job>> jobs;
+    while (m_jobs.popAll(jobs, Wait)) {
+        for (const std::shared_ptr<Job>& job : jobs) {
+            prepare(*job);
+            m_context.loop.post([job, self = std::weak_ptr<DeclarationAdoption*>(m_self)] {
+                if (const std::shared_ptr<DeclarationAdoption*> adoption = self.lock())
+                    (*adoption)->onPrepared(*job);
+            });
+        }
+    }
+}
+
+void DeclarationAdoption::prepare(Job& job)
 {
     try {
-        adopt(prepareDeclaration(document), source);
+        job.prepared = prepareDeclaration(job.document);
     } catch (const adapter::DocumentUnreadable& unreadable) {
+        job.problem = unreadable.describe();
+    }
+}
+
+void DeclarationAdoption::onPrepared(const Job& job)
+{
+    if (job.prepared) {
+        adopt(*job.prepared, job.source);
+        job.whenInForce();
+    } else {
         telemetry::logError("config", "Kept the declaration; the new one is unreadable.",
-            { { "cause", unreadable.describe() } });
+            { { "cause", job.problem }, { "by", job.source } });
     }
+    if (m_waiting)
+        queue(std::exchange(m_waiting, nullptr));
+}
+
+std::string DeclarationAdoption::documentWithoutKeys() const
+{
+    return m_documentWithoutKeys ? *m_documentWithoutKeys : std::string();
 }
 
-void DeclarationAdoption::adopt(PreparedDeclaration declaration, std::string_view source)
+void DeclarationAdoption::adopt(const PreparedDeclaration& declaration, std::string_view source)
 {
     const ConfigRevision revision = declaration.routes->declaration().revision;
     const ConfigRevision known
@@ -42,11 +119,13 @@
         if (revision < known)
             telemetry::logWarning("config", "Kept the declaration; the store has an older one.",
                 { { "revision", std::to_string(known.value()) },
-                    { "stored", std::to_string(revision.value()) } });
+                    { "stored", std::to_string(revision.value()) },
+                    { "by", std::string(source) } });
         return;
     }
-    m_context.routes = std::move(declaration.routes);
-    m_context.keys = std::move(declaration.keys);
+    m_context.routes = declaration.routes;
+    m_context.keys = declaration.keys;
+    m_documentWithoutKeys = declaration.documentWithoutKeys;
     telemetry::logInfo("config", "Adopted a declaration.",
         { { "revision", std::to_string(revision.value()) },
             { "before", std::to_string(known.value()) },
--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "Gateway.h"
 
+#include "Durations.h"
 #include "telemetry/Telemetry.h"
 
 namespace citronspoke::gateway {
@@ -27,6 +28,9 @@
         return settings.drainTime / FractionOfDrainTime;
     }
 
+    /** Time for the store's response to a long poll that has ended. */
+    constexpr Milliseconds ResponseMargin { 300 };
+
     std::string_view keyOf(const adapter::KeyChange& change)
     {
         const adapter::KeyWritten* written = std::get_if<adapter::KeyWritten>(&change);
@@ -47,6 +51,7 @@
               } })
     , m_peers(m_context, m_store, fleet::requireAddress(settings.operatorAddress))
     , m_declarations(m_context, [this] { startCacheInventory(); })
+    , m_exchange(m_context, m_peers, m_declarations, watchPollTimeout(settings) + ResponseMargin)
     , m_versions(m_context, m_peers, m_store)
     , m_quarantineRecord(m_context, m_peers, m_store)
     , m_streams(m_context, m_peers, m_versions, fleet::requireAddress(settings.operatorAddress))
@@ -57,9 +62,7 @@
     , m_readinessServer(loop, fleet::requireAddress(settings.readiness),
           [this](std::string_view) { return readinessPage(); })
     , m_operatorServer(loop, fleet::requireAddress(settings.operatorAddress),
-          [](std::string_view) {
-              return channels::StatusServer::Page { 200, "text/plain", telemetry::metricsText() };
-          })
+          [this](std::string_view target) { return operatorPage(target); })
     , m_stopTimer(loop)
     , m_stopGrace(settings.stopGrace)
 {
@@ -70,13 +73,18 @@
         const SteadyTime::duration age = last ? steadyNow() - *last : std::chrono::hours(1);
         return std::chrono::duration_cast<Milliseconds>(age);
     };
-    m_context.declarationAge = m_context.storeAge;
+    m_context.isStoreServing = [this] { return m_storeFeed.isConnected(); };
+    m_context.declarationAge = [this] {
+        const std::optional<SteadyTime> confirmed = m_exchange.lastConfirmed();
+        return confirmed ? std::min(m_context.storeAge(), since(*confirmed)) : m_context.storeAge();
+    };
 }
 
 void Gateway::start()
 {
     m_storeFeed.start();
     m_peers.start();
+    m_exchange.start();
     m_versions.start();
     m_quarantineRecord.start();
     m_roles.start();
@@ -222,6 +230,13 @@
     return page;
 }
 
+channels::StatusServer::Page Gateway::operatorPage(std::string_view target) const
+{
+    if (target.substr(0, target.find('?')) == DeclarationExchange::Path)
+        return m_exchange.respond(target);
+    return { 200, "text/plain", telemetry::metricsText() };
+}
+
 void Gateway::reload(const settings::GatewaySettings& settings)
 {
     m_stopGrace = settings.stopGrace;
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -2,8 +2,7 @@
 
 #include "CacheInventory.h"
 #include "CallerConnection.h"
-#include "DeclarationAdoption.h"
-#include "PeerGroup.h"
+#include "DeclarationExchange.h"
 #include "QuarantineRecord.h"
 #include "RoleCoordinator.h"
 #include "StreamRegistry.h"
@@ -42,6 +41,7 @@
     void putTarget(const fleet::TargetRecord& record);
     void accept(channels::ConnectionPointer connection);
     channels::StatusServer::Page readinessPage() const;
+    channels::StatusServer::Page operatorPage(std::string_view target) const;
     void closeIdleConnections();
     void checkStopped();
 
@@ -52,6 +52,7 @@
     storefeed::StoreFeed m_storeFeed;
     PeerGroup m_peers;
     DeclarationAdoption m_declarations;
+    DeclarationExchange m_exchange;
     VersionRecords m_versions;
     QuarantineRecord m_quarantineRecord;
     StreamRegistry m_streams;
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -43,6 +43,8 @@
     std::shared_ptr<const dispatch::RouteTable> routes;
     /** The keys of the same declaration; null where it has no organisations. */
     std::shared_ptr<const organisations::KeyDirectory> keys;
+    /** @return whether the store responded to the last request. */
+    std::function<bool()> isStoreServing;
     /** Time since the store last responded; an hour when it never has. */
     std::function<Milliseconds()> storeAge;
     /** Time since the store, or another gateway in contact with it, last confirmed the declaration;
--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -121,7 +121,11 @@
     settings.callers = host + std::to_string(m_ports.pick());
     settings.readiness = host + std::to_string(m_ports.pick());
     settings.operatorAddress = host + std::to_string(m_ports.pick());
-    settings.store = m_store.address().text();
+    settings.store
+        = (m_secondAddressUsers.contains(number) ? m_store.secondAddress() : m_store.address())
+              .text();
+    settings.refusesUnconfirmedKeys = m_revokeTime.has_value();
+    settings.revokeTime = m_revokeTime.value_or(settings.revokeTime);
     settings.sidecarPort = m_sidecarPort;
     settings.stopGrace = Milliseconds(20000);
     settings.retries = { 10, 100, Milliseconds(10000) };
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -51,6 +51,10 @@
     void reportRole(const std::string& id, EngineRole role, bool isChanging);
     /** Receives the gateway's requests to sidecars; all engines of the fixture share one port. */
     fleet::Address sidecars() const { return { "127.0.0.1", m_sidecarPort }; }
+    /** A gateway that is started later calls the store at its second address. */
+    void useSecondStoreAddress(size_t number) { m_secondAddressUsers.insert(number); }
+    /** Gateways that are started later refuse keys when their declaration is not confirmed. */
+    void refuseUnconfirmedKeys(Milliseconds revokeTime) { m_revokeTime = revokeTime; }
     /** Starts gateways, beside those that run, without waiting until they are ready. */
     void start(size_t count = 1);
     void stopGateway()
@@ -66,6 +70,11 @@
     {
         return fleet::requireAddress(m_gateways.at(gateway)->settings.callers);
     }
+    /** @return where a gateway serves operators and other gateways. */
+    fleet::Address operatorAddress(size_t gateway) const
+    {
+        return fleet::requireAddress(m_gateways.at(gateway)->settings.operatorAddress);
+    }
     /** @return the status of a gateway's readiness page. */
     uint32_t readiness(size_t gateway = 0) const;
     std::vector<SeenRequest> seen() const;
@@ -100,6 +109,8 @@
     std::vector<std::unique_ptr<fakes::FakeHttpServer>> m_targets;
     localfleet::PortPicker m_ports;
     uint16_t m_sidecarPort;
+    std::set<size_t> m_secondAddressUsers;
+    std::optional<Milliseconds> m_revokeTime;
     std::vector<std::unique_ptr<RunningGateway>> m_gateways;
 };
 
--- a/fakes/fleet/FakeFleetStore.cpp
+++ b/fakes/fleet/FakeFleetStore.cpp
@@ -73,6 +73,13 @@
         [this](const FakeRequest& request, FakeConnection& connection) {
             handle(request, connection);
         }))
+    , m_secondServer(std::make_unique<FakeHttpServer>(
+          [this](const FakeRequest& request, FakeConnection& connection) {
+              if (m_isRefusingSecond)
+                  respondJson(connection, 503, m_era, "{}");
+              else
+                  handle(request, connection);
+          }))
 {
 }
 
@@ -81,6 +88,7 @@
     m_isStopping = true;
     m_changed.notify_all();
     m_server.reset();
+    m_secondServer.reset();
 }
 
 void FakeFleetStore::put(const std::string& key, const std::string& value)
@@ -298,6 +306,8 @@
         Json { { "lease", id }, { "ttlMs", lease.timeToLive.count() } }.dump());
 }
 
+void FakeFleetStore::refuseSecondAddress(bool isRefusing) { m_isRefusingSecond = isRefusing; }
+
 void FakeFleetStore::handle(const FakeRequest& request, FakeConnection& connection)
 {
     const std::string& target = request.head.target;
--- a/fakes/fleet/FakeFleetStore.h
+++ b/fakes/fleet/FakeFleetStore.h
@@ -17,12 +17,16 @@
     ~FakeFleetStore();
 
     fleet::Address address() const { return m_server->address(); }
+    /** @return another address of the same store, for processes that it can refuse alone. */
+    fleet::Address secondAddress() const { return m_secondServer->address(); }
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
     /** Compacts the history: a watch from an earlier revision fails with 410. */
     void dropHistory();
     /** While set, every call is answered with 503. */
     void refuse(bool isRefusing) { m_isRefusing = isRefusing; }
+    /** While set, every call at the second address is answered with 503. */
+    void refuseSecondAddress(bool isRefusing);
     /** While set, every write and lease call is answered with 503. */
     void refuseWrites(bool isRefusing) { m_isRefusingWrites = isRefusing; }
     /** Delays every call by @p delay. */
@@ -100,7 +104,9 @@
     std::atomic<bool> m_isLosingResponses { false };
     std::atomic<Milliseconds> m_delay { Milliseconds(0) };
     std::atomic<bool> m_isStopping { false };
+    std::atomic<bool> m_isRefusingSecond { false };
     std::unique_ptr<FakeHttpServer> m_server;
+    std::unique_ptr<FakeHttpServer> m_secondServer;
 };
 
 struct FakeFleetStore::Copy {
