--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "Gateway.h"
 
+#include "Durations.h"
 #include "telemetry/Telemetry.h"
 
 namespace citronspoke::gateway {
@@ -27,6 +28,9 @@
         return settings.drainTime / FractionOfDrainTime;
     }
 
+    /** Time for the store's response to a long poll that has ended. */
+    constexpr Milliseconds ResponseMargin { 300 };
+
     std::string_view keyOf(const adapter::KeyChange& change)
     {
         const adapter::KeyWritten* written = std::get_if<adapter::KeyWritten>(&change);
@@ -46,6 +50,8 @@
                   onStoreChange(change, recovery);
               } })
     , m_peers(m_context, m_store, fleet::requireAddress(settings.operatorAddress))
+    , m_declarations(m_context, [this] { startCacheInventory(); })
+    , m_exchange(m_context, m_peers, m_declarations, watchPollTimeout(settings) + ResponseMargin)
     , m_versions(m_context, m_peers, m_store)
     , m_quarantineRecord(m_context, m_peers, m_store)
     , m_streams(m_context, m_peers, m_versions, fleet::requireAddress(settings.operatorAddress))
@@ -56,25 +62,29 @@
     , m_readinessServer(loop, fleet::requireAddress(settings.readiness),
           [this](std::string_view) { return readinessPage(); })
     , m_operatorServer(loop, fleet::requireAddress(settings.operatorAddress),
-          [](std::string_view) {
-              return channels::StatusServer::Page { 200, "text/plain", telemetry::metricsText() };
-          })
+          [this](std::string_view target) { return operatorPage(target); })
     , m_stopTimer(loop)
     , m_stopGrace(settings.stopGrace)
 {
     m_context.peers = &m_peers;
     m_context.streams = &m_streams;
-    m_context.declarationAge = [this] {
+    m_context.storeAge = [this] {
         const std::optional<SteadyTime> last = m_storeFeed.lastResponse();
         const SteadyTime::duration age = last ? steadyNow() - *last : std::chrono::hours(1);
         return std::chrono::duration_cast<Milliseconds>(age);
     };
+    m_context.isStoreServing = [this] { return m_storeFeed.isConnected(); };
+    m_context.declarationAge = [this] {
+        const std::optional<SteadyTime> confirmed = m_exchange.lastConfirmed();
+        return confirmed ? std::min(m_context.storeAge(), since(*confirmed)) : m_context.storeAge();
+    };
 }
 
 void Gateway::start()
 {
     m_storeFeed.start();
     m_peers.start();
+    m_exchange.start();
     m_versions.start();
     m_quarantineRecord.start();
     m_roles.start();
@@ -123,32 +133,8 @@
 
 void Gateway::onDeclaration(const adapter::StoreItem& item)
 {
-    if (item.key != adapter::DeclarationKey)
-        return;
-    try {
-        fleet::Declaration declaration = adapter::decodeDeclaration(item.value);
-        const ConfigRevision revision = declaration.revision;
-        const ConfigRevision known
-            = m_context.routes ? m_context.routes->declaration().revision : ConfigRevision(0);
-        // A late or repeated change, or a restored store, must not bring back a declaration that
-        // was replaced.
-        if (revision <= known) {
-            if (revision < known)
-                telemetry::logWarning("config", "Kept the declaration; the store has an older one.",
-                    { { "revision", std::to_string(known.value()) },
-                        { "stored", std::to_string(revision.value()) } });
-            return;
-        }
-        m_context.routes = std::make_shared<dispatch::RouteTable>(std::move(declaration));
-        telemetry::logInfo("config", "Adopted a declaration.",
-            { { "revision", std::to_string(revision.value()) },
-                { "before", std::to_string(known.value()) },
-                { "routes", std::to_string(m_context.routes->declaration().routes.size()) } });
-        startCacheInventory();
-    } catch (const adapter::DocumentUnreadable& unreadable) {
-        telemetry::logError("config", "Kept the declaration; the new one is unreadable.",
-            { { "cause", unreadable.describe() } });
-    }
+    if (item.key == adapter::DeclarationKey)
+        m_declarations.offer(item.value, "store");
 }
 
 std::optional<fleet::TargetRecord> Gateway::decodeTarget(const adapter::StoreItem& item) const
@@ -244,6 +230,13 @@
     return page;
 }
 
+channels::StatusServer::Page Gateway::operatorPage(std::string_view target) const
+{
+    if (target.substr(0, target.find('?')) == DeclarationExchange::Path)
+        return m_exchange.respond(target);
+    return { 200, "text/plain", telemetry::metricsText() };
+}
+
 void Gateway::reload(const settings::GatewaySettings& settings)
 {
     m_stopGrace = settings.stopGrace;
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -2,7 +2,7 @@
 
 #include "CacheInventory.h"
 #include "CallerConnection.h"
-#include "PeerGroup.h"
+#include "DeclarationExchange.h"
 #include "QuarantineRecord.h"
 #include "RoleCoordinator.h"
 #include "StreamRegistry.h"
@@ -41,6 +41,7 @@
     void putTarget(const fleet::TargetRecord& record);
     void accept(channels::ConnectionPointer connection);
     channels::StatusServer::Page readinessPage() const;
+    channels::StatusServer::Page operatorPage(std::string_view target) const;
     void closeIdleConnections();
     void checkStopped();
 
@@ -50,6 +51,8 @@
     /** Follows all keys: a watch for each kind of key would cost as many calls each. */
     storefeed::StoreFeed m_storeFeed;
     PeerGroup m_peers;
+    DeclarationAdoption m_declarations;
+    DeclarationExchange m_exchange;
     VersionRecords m_versions;
     QuarantineRecord m_quarantineRecord;
     StreamRegistry m_streams;
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -25,8 +25,15 @@
     ~GatewayFixture();
 
     void addRoute(const std::string& prefix, const RouteOptions& options);
+    /** Sets an organisation of the next declarations and its keys. */
+    void setOrganisation(const std::string& name, const std::vector<std::string>& keys,
+        std::optional<int> priority = std::nullopt);
+    /** The next declarations have no organisations. */
+    void removeOrganisations() { m_organisations = nullptr; }
     /** Writes the declaration with the routes added so far. */
     void declare(int version);
+    /** @return the document that declare() writes. */
+    std::string declarationText(int version) const;
     /**
      * @param role empty for an application.
      * @param version of the target's software.
@@ -44,6 +51,10 @@
     void reportRole(const std::string& id, EngineRole role, bool isChanging);
     /** Receives the gateway's requests to sidecars; all engines of the fixture share one port. */
     fleet::Address sidecars() const { return { "127.0.0.1", m_sidecarPort }; }
+    /** A gateway that is started later calls the store at its second address. */
+    void useSecondStoreAddress(size_t number) { m_secondAddressUsers.insert(number); }
+    /** Gateways that are started later refuse keys when their declaration is not confirmed. */
+    void refuseUnconfirmedKeys(Milliseconds revokeTime) { m_revokeTime = revokeTime; }
     /** Starts gateways, beside those that run, without waiting until they are ready. */
     void start(size_t count = 1);
     void stopGateway()
@@ -59,6 +70,11 @@
     {
         return fleet::requireAddress(m_gateways.at(gateway)->settings.callers);
     }
+    /** @return where a gateway serves operators and other gateways. */
+    fleet::Address operatorAddress(size_t gateway) const
+    {
+        return fleet::requireAddress(m_gateways.at(gateway)->settings.operatorAddress);
+    }
     /** @return the status of a gateway's readiness page. */
     uint32_t readiness(size_t gateway = 0) const;
     std::vector<SeenRequest> seen() const;
@@ -84,6 +100,8 @@
 
     fakes::FakeFleetStore m_store;
     nlohmann::json m_routes = nlohmann::json::array();
+    /** By name; null while the declarations have no organisations. */
+    nlohmann::json m_organisations;
     mutable std::mutex m_mutex;
     std::vector<SeenRequest> m_seen;
     std::map<std::string, std::map<std::string, int>> m_cachedParts;
@@ -91,6 +109,8 @@
     std::vector<std::unique_ptr<fakes::FakeHttpServer>> m_targets;
     localfleet::PortPicker m_ports;
     uint16_t m_sidecarPort;
+    std::set<size_t> m_secondAddressUsers;
+    std::optional<Milliseconds> m_revokeTime;
     std::vector<std::unique_ptr<RunningGateway>> m_gateways;
 };
 
