Settings: the platform's API and its duties

Cause: the gateway needs the address of the platform's API, the duties in force and their bounds. A list of duties may be empty.

--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -3,6 +3,7 @@
 #include "model/Model.h"
 
 #include <map>
+#include <set>
 #include <span>
 
 /**
@@ -262,6 +263,25 @@
     Milliseconds window { 10000 };
 };
 
+/** Settings of the duties that one gateway at a time fulfils for the platform. */
+struct DutySettings {
+    /** The platform's API, "IP:PORT"; empty where it has none. */
+    std::string platformApi;
+    /** Names of the duties in force. */
+    std::set<std::string> duties;
+    /** Calls of duties that the platform accepts from all processes in a second. */
+    double callsPerSecond = 50;
+    /** Two processes must not act in the order A, B, A within this time. */
+    Milliseconds leaseTime { 3000 };
+    Milliseconds usageWindow { 5000 };
+    /** A usage report is due this long after the end of its window. */
+    Milliseconds usageDelay { 10000 };
+    /** Clocks differ from true time by up to this. */
+    Milliseconds clockSkew { 6000 };
+
+    bool reportsUsage() const { return !platformApi.empty() && duties.contains("usage_reporting"); }
+};
+
 /** Settings of the gateway on an entry VM. */
 struct GatewaySettings {
     std::string id;
@@ -287,6 +307,7 @@
     RetryLimits retries;
     /** The whole system starts for the first time, so no engine has cached prompt parts yet. */
     bool isFirstStart = false;
+    DutySettings duties;
 };
 
 /** Settings of the sidecar beside a model engine. */
--- a/libs/settings/src/GatewayAndSidecarSettings.cpp
+++ b/libs/settings/src/GatewayAndSidecarSettings.cpp
@@ -1,5 +1,6 @@
 #include "Schema.h"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <cstdlib>
@@ -10,7 +11,7 @@
 
     constexpr double MsPerSecond = 1000;
 
-    constexpr std::array<KeyRule, 15> GatewayRules {
+    constexpr std::array<KeyRule, 22> GatewayRules {
         KeyRule { "", "id", ValueKind::Text, true },
         KeyRule { "", "zone", ValueKind::Text, true },
         KeyRule { "", "callers", ValueKind::Address, true },
@@ -26,6 +27,13 @@
         KeyRule { "", "limit_notice_ms", ValueKind::Integer, true, 0, 3600000 },
         KeyRule { "", "sidecar_port", ValueKind::Integer, true, 1, 65535 },
         KeyRule { "", "first_start", ValueKind::Flag, false },
+        KeyRule { "", "platform_api", ValueKind::Address, false },
+        KeyRule { "", "duties", ValueKind::Names, false },
+        KeyRule { "", "duty_rate", ValueKind::Real, false, 0.1, 1e6 },
+        KeyRule { "", "lease_time_ms", ValueKind::Integer, false, 500, 3600000 },
+        KeyRule { "", "usage_window_s", ValueKind::Real, false, 0.1, 3600 },
+        KeyRule { "", "usage_delay_s", ValueKind::Real, false, 0.1, 3600 },
+        KeyRule { "", "clock_skew_ms", ValueKind::Integer, false, 0, 3600000 },
     };
 
     constexpr std::array<KeyRule, 4> SidecarRules {
@@ -44,9 +52,43 @@
     }
 
     /** @return the value of a key given in seconds. */
-    Milliseconds readSeconds(const TableReader& reader, std::string_view key)
+    Milliseconds readSeconds(
+        const TableReader& reader, std::string_view key, Milliseconds defaultValue = {})
     {
-        return Milliseconds(std::llround(reader.real(key, 0) * MsPerSecond));
+        const double seconds
+            = reader.real(key, static_cast<double>(defaultValue.count()) / MsPerSecond);
+        return Milliseconds(std::llround(seconds * MsPerSecond));
+    }
+
+    /** @return the names in a list joined by commas. */
+    std::set<std::string> namesIn(std::string_view list)
+    {
+        std::set<std::string> names;
+        while (!list.empty()) {
+            const size_t end = std::min(list.find(','), list.size());
+            std::string_view name = list.substr(0, end);
+            list.remove_prefix(std::min(end + 1, list.size()));
+            name.remove_prefix(std::min(name.find_first_not_of(' '), name.size()));
+            name = name.substr(0, name.find_last_not_of(' ') + 1);
+            if (!name.empty())
+                names.emplace(name);
+        }
+        return names;
+    }
+
+    DutySettings readDuties(const TableReader& reader)
+    {
+        DutySettings duties;
+        duties.platformApi = reader.text("platform_api");
+        duties.duties = namesIn(reader.text("duties"));
+        duties.callsPerSecond = reader.real("duty_rate", duties.callsPerSecond);
+        duties.leaseTime
+            = Milliseconds(reader.number<int64_t>("lease_time_ms", duties.leaseTime.count()));
+        duties.usageWindow = readSeconds(reader, "usage_window_s", duties.usageWindow);
+        duties.usageDelay = readSeconds(reader, "usage_delay_s", duties.usageDelay);
+        duties.clockSkew
+            = Milliseconds(reader.number<int64_t>("clock_skew_ms", duties.clockSkew.count()));
+        return duties;
     }
 
 } // namespace
@@ -78,6 +120,7 @@
     gateway.retries.fixedPart = reader.real("retry_fixed_part", 0);
     gateway.retries.window = readSeconds(reader, "retry_window_s");
     gateway.isFirstStart = reader.flag("first_start", false);
+    gateway.duties = readDuties(reader);
     return gateway;
 }
 
--- a/libs/settings/src/Schema.cpp
+++ b/libs/settings/src/Schema.cpp
@@ -215,6 +215,8 @@
     switch (rule.kind) {
     case ValueKind::Text:
         return expect(node.is_string() && !text.empty(), "a non-empty string");
+    case ValueKind::Names:
+        return expect(node.is_string(), "a string");
     case ValueKind::TextList:
         return expect(isTextList(node), "a list of strings");
     case ValueKind::Integer:
--- a/libs/settings/src/Schema.h
+++ b/libs/settings/src/Schema.h
@@ -10,6 +10,8 @@
 enum class ValueKind : uint8_t {
     Text,
     TextList,
+    /** A string: names joined by commas, or nothing. */
+    Names,
     Integer,
     Real,
     Flag,
--- a/libs/settings/tests/GatewaySettingsTests.cpp
+++ b/libs/settings/tests/GatewaySettingsTests.cpp
@@ -65,3 +65,24 @@
     const std::string first = std::string(Gateway) + "first_start = true\n";
     cr_assert(parseGatewaySettings({ "gateway.toml", first }).isFirstStart);
 }
+
+// Guards against duties that run where the platform states none.
+Test(gateway_settings, duties_are_off_unless_the_platform_states_them)
+{
+    cr_assert_not(parseGatewaySettings({ "gateway.toml", Gateway }).duties.reportsUsage());
+    const std::string api = std::string(Gateway) + "platform_api = \"10.0.0.9:80\"\n";
+    cr_assert_not(
+        parseGatewaySettings({ "g.toml", api + "duties = \"\"\n" }).duties.reportsUsage());
+    cr_assert_not(parseGatewaySettings({ "g.toml", api + "duties = \"autoscaling\"\n" })
+                      .duties.reportsUsage());
+    const std::string stated = api
+        + "duties = \"autoscaling, usage_reporting\"\nduty_rate = 20\nlease_time_ms = 4000\n"
+          "usage_window_s = 2.5\nusage_delay_s = 8\nclock_skew_ms = 100\n";
+    const DutySettings duties = parseGatewaySettings({ "g.toml", stated }).duties;
+    cr_assert(duties.reportsUsage());
+    cr_assert_eq(duties.callsPerSecond, 20);
+    cr_assert(duties.leaseTime == Milliseconds(4000));
+    cr_assert(duties.usageWindow == Milliseconds(2500));
+    cr_assert(duties.usageDelay == Milliseconds(8000));
+    cr_assert(duties.clockSkew == Milliseconds(100));
+}
