Gateway: usage is counted, exchanged and reported by one holder

Cause: the platform's API takes one usage report a window, from one process at a time. One gateway holds the duties under a lease in the store, records each window there and posts the record. Where the settings state no usage reporting nothing of this runs.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -35,9 +35,10 @@
 
 } // namespace
 
-Gateway::Gateway(channels::EventLoop& loop, const settings::GatewaySettings& settings)
+Gateway::Gateway(
+    channels::EventLoop& loop, const settings::GatewaySettings& settings, const Clocks& clocks)
     : m_loop(loop)
-    , m_context(loop, settings)
+    , m_context(loop, settings, clocks)
     , m_store(loop, fleet::requireAddress(settings.store))
     , m_storeFeed(loop, m_store, { {}, watchPollTimeout(settings), coalesceTime(settings) },
           { [this](std::span<const adapter::StoreItem> items,
@@ -64,6 +65,8 @@
 {
     m_context.peers = &m_peers;
     m_context.streams = &m_streams;
+    if (settings.duties.reportsUsage())
+        m_duties.emplace(m_context, m_peers, m_store);
     m_context.declarationAge = [this] {
         const std::optional<SteadyTime> last = m_storeFeed.lastResponse();
         const SteadyTime::duration age = last ? steadyNow() - *last : std::chrono::hours(1);
@@ -78,6 +81,8 @@
     m_versions.start();
     m_quarantineRecord.start();
     m_roles.start();
+    if (m_duties)
+        m_duties->start();
 }
 
 void Gateway::onStoreItems(
@@ -86,6 +91,7 @@
     std::vector<adapter::StoreItem> targets;
     std::vector<adapter::StoreItem> announcements;
     std::vector<adapter::StoreItem> versions;
+    std::vector<adapter::StoreItem> duties;
     std::optional<adapter::StoreItem> quarantined;
     for (const adapter::StoreItem& item : items) {
         if (item.key == adapter::DeclarationKey)
@@ -96,6 +102,8 @@
             announcements.push_back(item);
         else if (item.key.starts_with(storefeed::VersionPrefix))
             versions.push_back(item);
+        else if (item.key.starts_with(storefeed::DutyPrefix))
+            duties.push_back(item);
         else if (item.key == storefeed::QuarantineKey)
             quarantined = item;
     }
@@ -103,6 +111,8 @@
     onTargets(targets, recovery);
     m_peers.onAnnouncements(announcements, recovery.mayReturnUntil);
     m_versions.onRecords(versions);
+    if (m_duties)
+        m_duties->onRecords(duties);
 }
 
 void Gateway::onStoreChange(const adapter::KeyChange& change, const fleet::StoreRecovery& recovery)
@@ -114,6 +124,9 @@
         m_peers.onAnnouncementChange(change, recovery.mayReturnUntil);
     } else if (key.starts_with(storefeed::VersionPrefix)) {
         m_versions.onRecordChange(change);
+    } else if (key.starts_with(storefeed::DutyPrefix)) {
+        if (m_duties)
+            m_duties->onRecordChange(change);
     } else if (key == storefeed::QuarantineKey) {
         m_quarantineRecord.onChange(change);
     } else if (const adapter::KeyWritten* written = std::get_if<adapter::KeyWritten>(&change)) {
@@ -265,6 +278,8 @@
         return;
     m_context.isStopping = true;
     m_stopDeadline = steadyNow() + m_stopGrace - ExitMargin;
+    if (m_duties)
+        m_duties->beginStop();
     telemetry::logInfo("gateway", "Stopping.",
         { { "connections", std::to_string(m_connections.size()) },
             { "grace_ms", std::to_string(m_stopGrace.count()) } });
@@ -287,6 +302,8 @@
     if (m_connections.empty() || steadyNow() >= m_stopDeadline) {
         telemetry::logInfo(
             "gateway", "Stopped.", { { "unfinished", std::to_string(m_connections.size()) } });
+        if (m_duties)
+            m_duties->endStop();
         m_loop.stop();
         return;
     }
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include "CacheInventory.h"
 #include "CallerConnection.h"
+#include "DutyRunner.h"
 #include "PeerGroup.h"
 #include "QuarantineRecord.h"
 #include "RoleCoordinator.h"
@@ -17,7 +18,8 @@
 class Gateway {
 public:
     /** @throws channels::ListenFailed */
-    Gateway(channels::EventLoop& loop, const settings::GatewaySettings& settings);
+    Gateway(channels::EventLoop& loop, const settings::GatewaySettings& settings,
+        const Clocks& clocks = {});
 
     void start();
     /** Applies the settings that may change at run time; addresses and the zone may not. */
@@ -27,6 +29,8 @@
      * finishes open requests within the grace period, then stops the event loop.
      */
     void beginStop();
+    /** The state that requests share; for tests. */
+    GatewayContext& context() noexcept { return m_context; }
 
 private:
     void onStoreItems(
@@ -54,6 +58,8 @@
     QuarantineRecord m_quarantineRecord;
     StreamRegistry m_streams;
     RoleCoordinator m_roles;
+    /** None where the platform states no duty that gateways fulfil. */
+    std::optional<DutyRunner> m_duties;
     CacheInventory m_cacheInventory;
     std::unique_ptr<channels::Listener> m_listener;
     channels::StatusServer m_readinessServer;
--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -2,12 +2,27 @@
 
 #include "Durations.h"
 #include "PeerGroup.h"
+#include "UsageExchange.h"
 #include "telemetry/Telemetry.h"
 
+#include <ctime>
+
 namespace citronspoke::gateway {
 
-GatewayContext::GatewayContext(channels::EventLoop& loop, const settings::GatewaySettings& settings)
+duties::BootTime Clocks::bootNow()
+{
+    constexpr int64_t MsPerSecond = 1000;
+    constexpr int64_t NsPerMs = 1000000;
+    // The steady clock stops while the machine is suspended.
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return duties::BootTime(Milliseconds(time.tv_sec * MsPerSecond + time.tv_nsec / NsPerMs));
+}
+
+GatewayContext::GatewayContext(
+    channels::EventLoop& loop, const settings::GatewaySettings& settings, Clocks clocks)
     : loop(loop)
+    , clocks(std::move(clocks))
     , settings(settings)
     , zone(settings.zone)
     , targetConnections(loop, {})
@@ -18,7 +33,23 @@
 {
 }
 
-void GatewayContext::noteRunBegun(const OrganisationId& /*organisation*/) { }
+void GatewayContext::noteRunBegun(const OrganisationId& organisation)
+{
+    if (usage && !organisation.empty())
+        usage->noteRunBegun(organisation);
+}
+
+void GatewayContext::onCounts(const duties::CountsMessage& message)
+{
+    if (usage)
+        usage->onCounts(message);
+}
+
+void GatewayContext::onDutyStatus(const duties::DutyStatus& status)
+{
+    if (usage)
+        usage->onStatus(status);
+}
 
 void GatewayContext::noteStarted(const TargetId& target, const dispatch::Load& load)
 {
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -4,6 +4,7 @@
 #include "PartQuarantine.h"
 #include "conditions/Conditions.h"
 #include "dispatch/Dispatch.h"
+#include "duties/Duties.h"
 #include "roles/Roles.h"
 #include "settings/Settings.h"
 #include "storefeed/StoreFeed.h"
@@ -14,12 +15,24 @@
 
 class PeerGroup;
 class StreamRegistry;
+class UsageExchange;
+
+/** The clocks of the machine; tests replace them. */
+struct Clocks {
+    /** Goes on while the process or the machine is suspended. */
+    std::function<duties::BootTime()> boot = bootNow;
+    std::function<UnixMillis()> wall = unixNow;
+
+    static duties::BootTime bootNow();
+};
 
 /** State that all requests of a gateway share. Used by the event loop's thread only. */
 struct GatewayContext {
-    GatewayContext(channels::EventLoop& loop, const settings::GatewaySettings& settings);
+    GatewayContext(
+        channels::EventLoop& loop, const settings::GatewaySettings& settings, Clocks clocks = {});
 
     channels::EventLoop& loop;
+    Clocks clocks;
     const settings::GatewaySettings& settings;
     ZoneId zone;
     channels::ConnectionPool targetConnections;
@@ -47,12 +60,17 @@
     PeerGroup* peers = nullptr;
     /** Null until the gateway is constructed. */
     StreamRegistry* streams = nullptr;
+    /** Null where the deployment reports no usage. */
+    UsageExchange* usage = nullptr;
 
     /**
      * A target has begun to run a caller's attempt; called once for each attempt.
      * @param organisation empty where the deployment declares none.
      */
     void noteRunBegun(const OrganisationId& organisation);
+    /** Another gateway sent its counts, or what it knows of the duties. */
+    void onCounts(const duties::CountsMessage& message);
+    void onDutyStatus(const duties::DutyStatus& status);
     /** Work at a target begins or ends; the new load is published to the other gateways. */
     void noteStarted(const TargetId& target, const dispatch::Load& load);
     void noteFinished(const TargetId& target, const dispatch::Load& load);
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -379,6 +379,8 @@
     void operator()(const streams::OriginNote& note) const { streams.onNote(note); }
     void operator()(const streams::OriginQuery& query) const { streams.onQuery(query); }
     void operator()(const streams::OriginReply& reply) const { streams.onReply(reply); }
+    void operator()(const duties::CountsMessage& sent) const { group.m_context.onCounts(sent); }
+    void operator()(const duties::DutyStatus& sent) const { group.m_context.onDutyStatus(sent); }
 };
 
 void PeerGroup::onDatagram(std::string_view datagram)
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -159,6 +159,8 @@
     void noteStatedLimit();
     /** Follows what the target states about itself in the current response. */
     void noteTargetNotice();
+    /** A target has begun to run the request; it is counted once. */
+    void noteRunBegun();
     void onHead(const http1::ResponseHead& head);
     void onBody(std::string_view bytes);
     void relayEvents(std::string_view bytes);
@@ -253,6 +255,7 @@
     std::optional<fleet::Incarnation> m_confirmed;
     std::shared_ptr<void> m_reportCall;
     bool m_hasBegunResponse = false;
+    bool m_isRunCounted = false;
     bool m_isOver = false;
 };
 
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -57,10 +57,13 @@
         m_context.partQuarantine.noteResponse(m_attempt->target, m_attempt->startedAt);
     if (m_attempt->step == Step::Prefill || m_attempt->responseInfo.isNotExecuted)
         return;
-    if (!isSuccess(head.status) || !m_attempt->responseInfo.isSigned)
+    // A success without a signature is not the target's response.
+    if (isSuccess(head.status) && !m_attempt->responseInfo.isSigned)
         return;
-    if (m_route->repeatability != fleet::Repeatability::Stream)
+    if (!isSuccess(head.status) || m_route->repeatability != fleet::Repeatability::Stream) {
+        noteRunBegun();
         return;
+    }
     m_attempt->isRelayed = true;
     m_attempt->headReceivedAt = steadyNow();
     if (m_attempt->step == Step::Decode) {
@@ -85,6 +88,12 @@
     m_writer->beginBody(head.status, head.reason, adapter::responseHeadersForCaller(head));
 }
 
+void RequestHandler::noteRunBegun()
+{
+    if (!std::exchange(m_isRunCounted, true))
+        m_context.noteRunBegun(m_organisation);
+}
+
 void RequestHandler::noteStatedLimit()
 {
     const adapter::ResponseInfo& info = m_attempt->responseInfo;
@@ -150,6 +159,7 @@
     std::string whole;
     for (const http1::StreamEvent& event : m_attempt->splitter.feed(bytes)) {
         m_attempt->events += 1;
+        noteRunBegun();
         if (event.id)
             noteAnswerBegun();
         // A resumed run may begin with an event that the caller already has.
--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -108,12 +108,21 @@
     settings.sidecarPort = m_sidecarPort;
     settings.stopGrace = Milliseconds(20000);
     settings.retries = { 10, 100, Milliseconds(10000) };
-    running->gateway = std::make_unique<Gateway>(running->loop, settings);
+    if (adjustSettings)
+        adjustSettings(number, settings);
+    running->gateway
+        = std::make_unique<Gateway>(running->loop, settings, clocks ? clocks(number) : Clocks());
     running->gateway->start();
     running->thread = std::jthread([&loop = running->loop] { loop.run(); });
     return running;
 }
 
+void GatewayFixture::post(size_t number, std::function<void(Gateway&)> task)
+{
+    RunningGateway* running = m_gateways.at(number).get();
+    running->loop.post([running, task = std::move(task)] { task(*running->gateway); });
+}
+
 void GatewayFixture::reportRole(const std::string& id, EngineRole role, bool isChanging)
 {
     peers::Outbox outbox;
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -50,6 +50,14 @@
     {
         m_gateways.front()->loop.post([this] { m_gateways.front()->gateway->beginStop(); });
     }
+    /** Changes the settings of gateways before they start; unset for none. @param number from 0. */
+    std::function<void(size_t number, settings::GatewaySettings&)> adjustSettings;
+    /** Supplies the clocks of gateways; unset for those of the machine. */
+    std::function<Clocks(size_t number)> clocks;
+    /** Runs a task on the thread of a gateway, which does nothing else meanwhile. */
+    void post(size_t number, std::function<void(Gateway&)> task);
+    /** Starts a gateway anew that was killed. */
+    void restartGateway(size_t number) { m_gateways.at(number) = startGateway(number); }
     /** Ends a gateway as if it were killed. @param number from 0. */
     void killGateway(size_t number) { m_gateways.at(number).reset(); }
 
--- a/libs/duties/include/duties/Duties.h
+++ b/libs/duties/include/duties/Duties.h
@@ -24,6 +24,12 @@
 /** Number of a usage window: the time since 1970 at which it begins, divided by its length. */
 using WindowNumber = Number<struct WindowTag>;
 
+/** @param length of a window. @return the window that contains the time. */
+inline WindowNumber windowAt(UnixMillis time, Milliseconds length)
+{
+    return WindowNumber(time.value() / length.count());
+}
+
 /**
  * The lease under which one process holds all duties. The store keeps the lease; this class knows
  * when the own process may acquire it and whether it may act now.
@@ -145,7 +151,6 @@
     {
     }
 
-    WindowNumber windowAt(UnixMillis time) const;
     UnixMillis endOf(WindowNumber window) const;
 
     /** Without knowledge of earlier reports, this window is the first. */
--- a/libs/duties/src/UsageSchedule.cpp
+++ b/libs/duties/src/UsageSchedule.cpp
@@ -21,11 +21,6 @@
 
 } // namespace
 
-WindowNumber UsageSchedule::windowAt(UnixMillis time) const
-{
-    return WindowNumber(time.value() / m_options.window.count());
-}
-
 UnixMillis UsageSchedule::endOf(WindowNumber window) const
 {
     return UnixMillis((window.value() + 1) * m_options.window.count());
@@ -55,7 +50,9 @@
 std::optional<WindowNumber> UsageSchedule::windowToGiveUp(UnixMillis trueTime) const
 {
     const WindowNumber newest(
-        windowAt(UnixMillis(trueTime.value() - m_options.lifetime.count())).value() - 1);
+        windowAt(UnixMillis(trueTime.value() - m_options.lifetime.count()), m_options.window)
+            .value()
+        - 1);
     if (!m_doneThrough || newest <= *m_doneThrough)
         return std::nullopt;
     return newest;
--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -2,6 +2,7 @@
 
 #include "conditions/Conditions.h"
 #include "dispatch/Dispatch.h"
+#include "duties/Duties.h"
 #include "quarantine/Quarantine.h"
 #include "roles/Roles.h"
 #include "streams/Streams.h"
@@ -85,8 +86,8 @@
 Update decode(std::string_view datagram);
 
 /** What a gateway may receive from another process. */
-using Message
-    = std::variant<Update, streams::OriginNote, streams::OriginQuery, streams::OriginReply>;
+using Message = std::variant<Update, streams::OriginNote, streams::OriginQuery,
+    streams::OriginReply, duties::CountsMessage, duties::DutyStatus>;
 /** @throws UpdateUnreadable when the datagram is not an encoded message. */
 Message decodeMessage(std::string_view datagram);
 
@@ -94,6 +95,10 @@
 std::string encode(const streams::OriginNote& note);
 std::string encode(const streams::OriginQuery& query);
 std::string encode(const streams::OriginReply& reply);
+std::string encode(const duties::CountsMessage& message);
+std::string encode(const duties::DutyStatus& status);
+/** @return the message as datagrams that fit into one network packet each; at least one. */
+std::vector<std::string> encodeInParts(const duties::CountsMessage& message);
 
 /** @return the request as a MessagePack array. */
 std::string encode(const roles::RoleRequest& request);
--- a/libs/peers/src/OriginCodec.cpp
+++ b/libs/peers/src/OriginCodec.cpp
@@ -1,5 +1,4 @@
-#include "Pack.h"
-#include "peers/Peers.h"
+#include "DutyCodec.h"
 
 namespace citronspoke::peers {
 
@@ -58,15 +57,6 @@
             && static_cast<uint8_t>(datagram[1]) <= LargestSmallNumber;
     }
 
-    /** @throws UpdateUnreadable when the array is shorter than the tuple. */
-    template <typename Tuple> Tuple unpackArray(const msgpack::object& object)
-    {
-        // The conversion alone would leave missing elements empty.
-        if (object.via.array.size < std::tuple_size_v<Tuple>)
-            throw UpdateUnreadable();
-        return object.as<Tuple>();
-    }
-
     Message decodeOriginMessage(const msgpack::object& object)
     {
         switch (static_cast<OriginKind>(object.via.array.ptr[0].as<uint8_t>())) {
@@ -103,7 +93,9 @@
         return decode(datagram);
     try {
         const msgpack::object_handle handle = msgpack::unpack(datagram.data(), datagram.size());
-        return decodeOriginMessage(handle.get());
+        const uint8_t kind = handle.get().via.array.ptr[0].as<uint8_t>();
+        return isDutyKind(kind) ? decodeDutyMessage(kind, handle.get())
+                                : decodeOriginMessage(handle.get());
     } catch (const std::exception&) {
         // The exceptions of msgpack share no more specific base class; an unreadable address is an
         // error of the sender too.
--- a/libs/peers/tests/PeersTests.cpp
+++ b/libs/peers/tests/PeersTests.cpp
@@ -220,3 +220,33 @@
         cr_expect(isRejected);
     }
 }
+
+// Guards against counts and statuses of duties that are lost or cut in transit.
+Test(duty_messages, decode_to_what_was_encoded)
+{
+    duties::CountsMessage counts { { EntryId("g"), UnixMillis(5) }, UnixMillis(7),
+        duties::WindowNumber(9), {} };
+    constexpr int Organisations = 200;
+    for (int number = 0; number < Organisations; ++number)
+        counts.counts[OrganisationId("organisation-" + std::to_string(number))] = 100000U + number;
+    duties::Counts received;
+    constexpr size_t PacketBytes = 1400;
+    for (const std::string& datagram : encodeInParts(counts)) {
+        cr_assert_leq(datagram.size(), PacketBytes);
+        const Message message = decodeMessage(datagram);
+        const duties::CountsMessage& part = std::get<duties::CountsMessage>(message);
+        cr_assert(part.source == counts.source && part.window == counts.window);
+        cr_assert_eq(part.clock.value(), 7);
+        received.insert(part.counts.begin(), part.counts.end());
+    }
+    cr_assert(received == counts.counts);
+    cr_assert_eq(encodeInParts({ counts.source, {}, {}, {} }).size(), 1U);
+
+    const duties::DutyStatus status { counts.source, UnixMillis(1), FencingNumber(2), std::nullopt,
+        duties::WindowNumber(4) };
+    const Message message = decodeMessage(encode(status));
+    const duties::DutyStatus& decoded = std::get<duties::DutyStatus>(message);
+    cr_assert(decoded.sender == status.sender && decoded.trueTime == status.trueTime);
+    cr_assert_eq(decoded.greatestNumber.value(), 2);
+    cr_assert(!decoded.recordedThrough && decoded.doneThrough == status.doneThrough);
+}
--- a/libs/storefeed/include/storefeed/StoreFeed.h
+++ b/libs/storefeed/include/storefeed/StoreFeed.h
@@ -12,6 +12,8 @@
 inline constexpr std::string_view VersionPrefix = "citronspoke/versions/";
 /** Key under which gateways keep the quarantined prompt parts. */
 inline constexpr std::string_view QuarantineKey = "citronspoke/quarantine/parts";
+/** Key prefix under which gateways keep the holder of the duties and the usage reports. */
+inline constexpr std::string_view DutyPrefix = "citronspoke/duties/";
 
 /** How the era of a response relates to the newest one known. */
 enum class EraOrder : uint8_t {
