Reserve space for the keys of a test

Change: the space is reserved before the loop. Result: declaration_exchange/large_declarations_are_adopted_in_order passes.

--- a/apps/gateway/tests/DeclarationExchangeTests.cpp
+++ b/apps/gateway/tests/DeclarationExchangeTests.cpp
@@ -147,6 +147,7 @@
 {
     ExchangeFixture fixture;
     std::vector<std::string> keys;
+    keys.reserve(3000);
     for (int key = 0; key < 3000; ++key)
         keys.push_back("key-number-" + std::to_string(key));
     fixture.setOrganisation("many", keys);
