Streams that nobody knows go on only after the targets were followed for the whole window

Cause: the list of targets and the store's record of versions do not show that no other version served before a gateway started: the record may be missing, late, refused or restored. Change: a gateway's view covers the window only when it has received every change of the targets for that long; reading all keys again, after a restore or a lost history, begins anew. A version that was in the store for a moment counts. A caller that sends its first attempt again finds the origin by that attempt.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -167,8 +167,10 @@
 {
     std::vector<fleet::TargetRecord> records;
     for (const adapter::StoreItem& item : items) {
-        if (const std::optional<fleet::TargetRecord> record = decodeTarget(item))
+        if (const std::optional<fleet::TargetRecord> record = decodeTarget(item)) {
             records.push_back(*record);
+            m_versions.noteTarget(*record);
+        }
     }
     const SteadyTime now = steadyNow();
     for (const TargetId& target : m_context.directory.replaceAll(records, recovery, now))
@@ -186,6 +188,7 @@
     const dispatch::TargetState* before = m_context.directory.find(record.id);
     if (before && before->record.role != record.role)
         m_context.reportedRoles.noteRecordChanged(record.id);
+    m_versions.noteTarget(record);
     if (m_context.directory.put(record))
         m_context.prefixCacheIndex.removeEngine(record.id);
 }
--- a/apps/gateway/StreamRegistry.cpp
+++ b/apps/gateway/StreamRegistry.cpp
@@ -95,8 +95,13 @@
     }
 }
 
-std::shared_ptr<void> StreamRegistry::findOrigin(const Resume& resume, Handler handler)
+std::shared_ptr<void> StreamRegistry::findOrigin(const Resume& request, Handler handler)
 {
+    Resume resume = request;
+    // A caller that sends its first attempt again does not name it.
+    const bool isSameAttempt = resume.firstAttempt.empty();
+    if (isSameAttempt)
+        resume.firstAttempt = resume.attempt;
     if (const std::optional<SoftwareVersion> version = m_origins.find(resume.firstAttempt)) {
         const streams::Origin origin { streams::Origin::Basis::Record, *version };
         report(resume, origin, 0, Milliseconds(0));
@@ -105,8 +110,7 @@
     }
     streams::VersionView own = m_versions.viewOf(resume.pool);
     const streams::Origin ownOrigin = streams::OriginSearch(own, streams::QueriedGateways).result();
-    // When the caller does not name the first attempt, other gateways have no record of it either.
-    if (resume.firstAttempt.empty() && ownOrigin.basis == streams::Origin::Basis::OnlyVersion) {
+    if (isSameAttempt && ownOrigin.basis == streams::Origin::Basis::OnlyVersion) {
         report(resume, ownOrigin, 0, Milliseconds(0));
         handler(ownOrigin);
         return nullptr;
@@ -117,10 +121,10 @@
 std::shared_ptr<void> StreamRegistry::startSearch(
     const Resume& resume, streams::VersionView&& own, Handler&& handler)
 {
-    const RequestId& key = resume.firstAttempt.empty() ? resume.attempt : resume.firstAttempt;
     std::vector<EntryId> asked;
-    if (key.text().size() <= MaxAttemptLength)
-        asked = streams::holdersOf(key, m_peers.gateways(), m_peers.id(), streams::QueriedGateways);
+    if (resume.firstAttempt.text().size() <= MaxAttemptLength)
+        asked = streams::holdersOf(
+            resume.firstAttempt, m_peers.gateways(), m_peers.id(), streams::QueriedGateways);
     const std::shared_ptr<Search> search = std::make_shared<Search>(
         *this, resume, streams::OriginSearch(std::move(own), asked.size()), std::move(handler));
     search->number = ++m_lastNumber;
--- a/apps/gateway/StreamRegistry.h
+++ b/apps/gateway/StreamRegistry.h
@@ -28,7 +28,7 @@
     struct Resume {
         /** The caller's current attempt. */
         RequestId attempt;
-        /** The attempt that began the stream; empty when the caller does not name it. */
+        /** The attempt that began the stream; empty when it is the current one. */
         RequestId firstAttempt;
         PoolId pool;
     };
@@ -39,7 +39,7 @@
      * @return owner of the search; destroying it cancels the search, and the handler is not called.
      *         Null when the handler has been called.
      */
-    std::shared_ptr<void> findOrigin(const Resume& resume, Handler handler);
+    std::shared_ptr<void> findOrigin(const Resume& request, Handler handler);
 
     void onNote(const streams::OriginNote& note);
     void onQuery(const streams::OriginQuery& query);
--- a/apps/gateway/VersionRecords.cpp
+++ b/apps/gateway/VersionRecords.cpp
@@ -63,7 +63,7 @@
 
 void VersionRecords::onRecords(std::span<const adapter::StoreItem> items)
 {
-    m_hasReadRecords = true;
+    m_readAt = steadyNow();
     m_areRecordsCurrent = true;
     m_records.clear();
     for (const adapter::StoreItem& item : items)
@@ -85,6 +85,11 @@
         [&record](const SoftwareVersion& version) { return record.versions.contains(version); });
 }
 
+void VersionRecords::noteTarget(const fleet::TargetRecord& record)
+{
+    m_histories[record.pool].noteSeen(record.version, steadyNow());
+}
+
 // A write with a revision of the earlier era could hit a revision that was given out again.
 void VersionRecords::onRestored()
 {
@@ -97,7 +102,7 @@
 
 void VersionRecords::followTargets()
 {
-    if (!m_hasReadRecords)
+    if (!m_readAt)
         return;
     const SteadyTime now = steadyNow();
     std::map<PoolId, std::set<SoftwareVersion>> present;
@@ -149,7 +154,7 @@
     const auto record = m_records.find(pool);
     const streams::VersionHistory& history = m_histories[pool];
     std::set<SoftwareVersion> versions;
-    for (const SoftwareVersion& version : history.view(steadyNow(), window(), true).versions) {
+    for (const SoftwareVersion& version : history.view(steadyNow(), window(), contact()).versions) {
         // A version that has left is not added again: the gateway that removed it has followed the
         // targets for longer.
         const bool isRecorded
@@ -198,11 +203,15 @@
     return longest;
 }
 
+streams::TargetContact VersionRecords::contact() const
+{
+    return { m_readAt, m_context.declarationAge() <= m_context.settings.applyTime };
+}
+
 streams::VersionView VersionRecords::viewOf(const PoolId& pool)
 {
     followTargets();
-    const bool isCurrent = m_context.declarationAge() <= m_context.settings.applyTime;
-    return m_histories[pool].view(steadyNow(), window(), isCurrent);
+    return m_histories[pool].view(steadyNow(), window(), contact());
 }
 
 } // namespace citronspoke::gateway
--- a/apps/gateway/VersionRecords.h
+++ b/apps/gateway/VersionRecords.h
@@ -20,6 +20,9 @@
     void onRecords(std::span<const adapter::StoreItem> items);
     void onRecordChange(const adapter::KeyChange& change);
 
+    /** The store has this record of a target; it may be replaced or removed at once. */
+    void noteTarget(const fleet::TargetRecord& record);
+
     /** @return the versions to whose streams callers may come back. */
     streams::VersionView viewOf(const PoolId& pool);
     /** @return how long callers may come back to a stream. */
@@ -33,6 +36,7 @@
     };
 
     void onRestored();
+    streams::TargetContact contact() const;
     void followTargets();
     void updateRecords();
     std::set<PoolId> poolsOfResumableStreams() const;
@@ -50,7 +54,8 @@
     std::map<PoolId, std::set<SoftwareVersion>> m_lostVersions;
     /** Since when records differ from what they should be. */
     std::map<PoolId, SteadyTime> m_staleSince;
-    bool m_hasReadRecords = false;
+    /** When the store's keys were last read as a whole; changes before may have been missed. */
+    std::optional<SteadyTime> m_readAt;
     /** Whether m_records were read in the store's newest era. */
     bool m_areRecordsCurrent = false;
     SteadyTime m_nextWriteAt {};
--- a/apps/gateway/tests/VersionTests.cpp
+++ b/apps/gateway/tests/VersionTests.cpp
@@ -129,12 +129,18 @@
     GatewayFixture::waitUntil(isRecorded);
 }
 
-// Guards against a resume that is refused for its version although there is only one.
+// Guards against a resume that is refused for its version although there is only one, and against
+// a gateway that knows the versions of a shorter time than callers may come back in.
 Test(versions, a_stream_that_is_unknown_goes_on_when_there_is_only_one_version)
 {
+    constexpr std::chrono::seconds Window { 15 };
     VersionFixture fixture;
     fixture.startWithFirstEngine(2);
     fixture.hasBegun = true;
+    Caller early(fixture.callers(0));
+    early.send(resumeText("a0", "never-seen"));
+    cr_assert_eq(early.receive().status, 503U);
+    std::this_thread::sleep_for(Window + SettleTime);
     for (const std::string first : { "Resumes: never-seen\r\n", "" }) {
         std::string lines = PromptLines;
         lines.append("Last-Event-Id: 2\r\n").append(first);
--- a/libs/streams/include/streams/Streams.h
+++ b/libs/streams/include/streams/Streams.h
@@ -27,7 +27,7 @@
 struct VersionView {
     /** Versions of the targets within the window that the view was made for. */
     std::set<SoftwareVersion> versions;
-    /** The gateway has read the targets and the store's record of earlier versions. */
+    /** The gateway has followed the targets without a gap for the whole window. */
     bool coversWindow = false;
     /** The gateway is in contact with the store, so that it would have learned of a new version. */
     bool isCurrent = false;
@@ -91,19 +91,30 @@
     std::deque<std::pair<SteadyTime, RequestId>> m_order;
 };
 
+/** How a gateway has followed the targets in the store. */
+struct TargetContact {
+    /**
+     * Since when the gateway has received every change of the targets; none before it has read
+     * them. Which versions served earlier is not known: the store's records may be missing, late or
+     * restored, and name versions that have served but do not show that no other one has.
+     */
+    std::optional<SteadyTime> followedSince;
+    /** The gateway is in contact with the store. */
+    bool isCurrent = false;
+};
+
 /** The versions of a pool's targets over time, as one gateway sees them. */
 class VersionHistory {
 public:
     /** @param present versions of the targets that the pool has now. */
     void note(std::set<SoftwareVersion> present, SteadyTime now);
+    /** The pool has a target of this version, or had one for a moment. */
+    void noteSeen(const SoftwareVersion& version, SteadyTime now);
     /** @param recorded versions that the store's record of the pool names. */
     void noteRecorded(const std::set<SoftwareVersion>& recorded, SteadyTime now);
     bool isPresent(const SoftwareVersion& version) const { return m_present.contains(version); }
-    /**
-     * @param window how far the view reaches back.
-     * @param isCurrent the gateway is in contact with the store.
-     */
-    VersionView view(SteadyTime now, Milliseconds window, bool isCurrent) const;
+    /** @param window how far the view reaches back. */
+    VersionView view(SteadyTime now, Milliseconds window, const TargetContact& contact) const;
     /** Forgets versions that were last present, or recorded, longer ago than @p window. */
     void expire(SteadyTime now, Milliseconds window);
 
