Sidecars hold the origins of streams

Cause: three other gateways keep each origin, and a kill of all gateways loses them all. A gateway that does not know a stream asks four sidecars together with the gateways; the first record ends the search.

--- a/apps/gateway/StreamRegistry.cpp
+++ b/apps/gateway/StreamRegistry.cpp
@@ -4,14 +4,14 @@
 #include "PeerGroup.h"
 #include "telemetry/Telemetry.h"
 
+#include <algorithm>
+
 namespace citronspoke::gateway {
 
 namespace {
 
     /** About 10 MB; at 1900 streams a second in a deployment, a gateway has a few hundred. */
     constexpr size_t MaxOrigins = 50000;
-    /** Callers' ids are random numbers of 16 digits; nothing is kept of much longer ones. */
-    constexpr size_t MaxAttemptLength = 64;
     /** A datagram between zones takes a few milliseconds there and back. */
     constexpr Milliseconds QueryInterval { 50 };
     constexpr uint32_t QueryRounds = 3;
@@ -45,6 +45,7 @@
     uint64_t number = 0;
     uint32_t rounds = 0;
     std::vector<EntryId> asked;
+    std::vector<fleet::Address> askedSidecars;
     channels::Timer timer;
 };
 
@@ -53,6 +54,7 @@
     : m_context(context)
     , m_peers(peers)
     , m_versions(versions)
+    , m_sidecars(context, peers)
     , m_ownAddress(ownAddress)
     , m_origins(MaxOrigins)
 {
@@ -60,9 +62,10 @@
 
 StreamRegistry::~StreamRegistry() = default;
 
-void StreamRegistry::noteBegun(const RequestId& attempt, const SoftwareVersion& version)
+void StreamRegistry::noteBegun(
+    const PoolId& pool, const RequestId& attempt, const SoftwareVersion& version)
 {
-    if (version.empty() || attempt.text().size() > MaxAttemptLength)
+    if (version.empty() || attempt.text().size() > streams::MaxAttemptLength)
         return;
     const streams::OriginNote note { attempt, version };
     noteOrigin(note);
@@ -71,6 +74,7 @@
         m_recentNotes.pop_front();
     m_recentNotes.emplace_back(now, note);
     sendToHolders(note, m_gateways);
+    m_sidecars.note(pool, note);
 }
 
 void StreamRegistry::updateGateways(std::span<const EntryId> gateways)
@@ -109,7 +113,8 @@
         return nullptr;
     }
     streams::VersionView own = m_versions.viewOf(resume.pool);
-    const streams::Origin ownOrigin = streams::OriginSearch(own, streams::QueriedGateways).result();
+    const streams::Origin ownOrigin
+        = streams::OriginSearch(own, { streams::QueriedGateways, 0 }).result();
     if (isSameAttempt && ownOrigin.basis == streams::Origin::Basis::OnlyVersion) {
         report(resume, ownOrigin, 0, Milliseconds(0));
         handler(ownOrigin);
@@ -122,13 +127,18 @@
     const Resume& resume, streams::VersionView&& own, Handler&& handler)
 {
     std::vector<EntryId> asked;
-    if (resume.firstAttempt.text().size() <= MaxAttemptLength)
+    std::vector<fleet::Address> sidecars;
+    if (resume.firstAttempt.text().size() <= streams::MaxAttemptLength) {
         asked = streams::holdersOf(
             resume.firstAttempt, m_peers.gateways(), m_peers.id(), streams::QueriedGateways);
-    const std::shared_ptr<Search> search = std::make_shared<Search>(
-        *this, resume, streams::OriginSearch(std::move(own), asked.size()), std::move(handler));
+        sidecars = m_sidecars.holders(resume.pool, resume.firstAttempt, streams::QueriedSidecars);
+    }
+    const std::shared_ptr<Search> search = std::make_shared<Search>(*this, resume,
+        streams::OriginSearch(std::move(own), { asked.size(), sidecars.size() }),
+        std::move(handler));
     search->number = ++m_lastNumber;
     search->asked = std::move(asked);
+    search->askedSidecars = std::move(sidecars);
     m_searches[search->number] = search.get();
     if (search->collected.isComplete()) {
         finish(*search);
@@ -149,12 +159,14 @@
         search.number, search.resume.firstAttempt, search.resume.pool, m_ownAddress });
     for (const EntryId& gateway : search.asked)
         m_peers.send(gateway, datagram);
+    for (const fleet::Address& sidecar : search.askedSidecars)
+        m_peers.send(sidecar, datagram);
     search.timer.arm(QueryInterval, [this, &search] { askHolders(search); });
 }
 
 void StreamRegistry::onNote(const streams::OriginNote& note)
 {
-    if (note.attempt.text().size() <= MaxAttemptLength)
+    if (note.attempt.text().size() <= streams::MaxAttemptLength)
         noteOrigin(note);
 }
 
@@ -178,7 +190,12 @@
     if (found == m_searches.end() || found->second->resume.firstAttempt != reply.attempt)
         return;
     Search& search = *found->second;
-    search.collected.add(reply);
+    const bool isFromGateway
+        = std::find(search.asked.begin(), search.asked.end(), reply.gateway) != search.asked.end();
+    if (isFromGateway)
+        search.collected.add(reply);
+    else
+        search.collected.addFromSidecar(reply);
     if (search.collected.isComplete())
         finish(search);
 }
--- a/apps/gateway/StreamRegistry.h
+++ b/apps/gateway/StreamRegistry.h
@@ -1,15 +1,16 @@
 #pragma once
 
 #include "GatewayContext.h"
+#include "SidecarOrigins.h"
 #include "VersionRecords.h"
 
 namespace citronspoke::gateway {
 
 /**
  * Knows at which software version streams began. A gateway sends the origin of each stream that
- * callers may resume to some other gateways, which the id of the caller's attempt determines, and
- * asks those when a caller resumes a stream that it does not know. Used by the event loop's thread
- * only.
+ * callers may resume to some other gateways and sidecars, which the id of the caller's attempt
+ * determines, and asks those when a caller resumes a stream that it does not know. Used by the
+ * event loop's thread only.
  */
 class StreamRegistry {
 public:
@@ -22,7 +23,7 @@
     /** Sends recent origins to the gateways that are new among all gateways. */
     void updateGateways(std::span<const EntryId> gateways);
     /** A stream has begun. To be called before the caller gets its first event. */
-    void noteBegun(const RequestId& attempt, const SoftwareVersion& version);
+    void noteBegun(const PoolId& pool, const RequestId& attempt, const SoftwareVersion& version);
 
     /** A caller's request to resume a stream. */
     struct Resume {
@@ -61,6 +62,7 @@
     GatewayContext& m_context;
     PeerGroup& m_peers;
     VersionRecords& m_versions;
+    SidecarOrigins m_sidecars;
     fleet::Address m_ownAddress;
     streams::StreamOrigins m_origins;
     /** Of streams that began here lately; oldest first. */
--- a/apps/sidecar/RoleReconciler.cpp
+++ b/apps/sidecar/RoleReconciler.cpp
@@ -35,6 +35,7 @@
     , m_pool(loop, {})
     , m_port(loop, fleet::requireAddress(settings.operatorAddress),
           [this](std::string_view datagram) { onDatagram(datagram); })
+    , m_originHolder(m_port, EntryId(settings.id))
     , m_operatorServer(loop, fleet::requireAddress(settings.operatorAddress),
           [](std::string_view) {
               return channels::StatusServer::Page { 200, "text/plain", telemetry::metricsText() };
@@ -44,11 +45,29 @@
 {
 }
 
+/** Passes each kind of message to the part that handles it. */
+struct RoleReconciler::MessageHandler {
+    RoleReconciler& reconciler;
+
+    void operator()(const roles::RoleRequest& request) const
+    {
+        reconciler.m_quorum.add(request, steadyNow());
+        reconciler.reconcile();
+    }
+    void operator()(const peers::OriginBatch& batch) const
+    {
+        reconciler.m_originHolder.onBatch(batch);
+    }
+    void operator()(const streams::OriginQuery& query) const
+    {
+        reconciler.m_originHolder.onQuery(query);
+    }
+};
+
 void RoleReconciler::onDatagram(std::string_view datagram)
 {
     try {
-        m_quorum.add(peers::decodeRoleRequest(datagram), steadyNow());
-        reconcile();
+        std::visit(MessageHandler { *this }, peers::decodeSidecarMessage(datagram));
     } catch (const peers::UpdateUnreadable& unreadable) {
         telemetry::logWarning("orders", unreadable.describe());
     }
--- a/apps/sidecar/RoleReconciler.h
+++ b/apps/sidecar/RoleReconciler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "OriginHolder.h"
 #include "adapter/Adapter.h"
 #include "channels/Channels.h"
 #include "peers/Peers.h"
@@ -10,7 +11,8 @@
 /**
  * Orders the engine on this VM to take the role that the gateways agree on, and reports the
  * engine's role to them. Only the sidecar sends role orders to the engine. Needs neither the store
- * nor any state from before its start. Runs on the thread of its event loop.
+ * nor any state from before its start. Messages about the origins of streams arrive at the same
+ * port and go to the OriginHolder. Runs on the thread of its event loop.
  */
 class RoleReconciler {
 public:
@@ -23,6 +25,8 @@
         SteadyTime sentAt;
     };
 
+    struct MessageHandler;
+
     void onDatagram(std::string_view datagram);
     /** Requests the engine's report when the gateways want a change or one is in progress. */
     void reconcile();
@@ -50,6 +54,7 @@
     fleet::Address m_engine;
     channels::ConnectionPool m_pool;
     channels::DatagramPort m_port;
+    OriginHolder m_originHolder;
     channels::StatusServer m_operatorServer;
     UnixMillis m_startedAt;
     roles::RequestQuorum m_quorum;
--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -12,8 +12,8 @@
  * Datagrams between the processes of the system. Gateways exchange updates: work in flight, cached
  * prompt parts, crash reports, lost, replaced and leaving targets, request limits that targets
  * state, roles and the demand for them. They request role changes from sidecars, which report roles
- * in updates of their own. The origins of streams are sent to single gateways, in messages of their
- * own.
+ * in updates of their own. The origins of streams are sent to single gateways and sidecars, in
+ * messages of their own.
  */
 namespace citronspoke::peers {
 
@@ -95,6 +95,18 @@
 std::string encode(const streams::OriginQuery& query);
 std::string encode(const streams::OriginReply& reply);
 
+/** The origins of streams that began within a short time, for a sidecar that holds them. */
+struct OriginBatch {
+    std::vector<streams::OriginNote> notes;
+};
+/** @return the batch as a MessagePack array. */
+std::string encode(const OriginBatch& batch);
+
+/** What a sidecar may receive from a gateway. */
+using SidecarMessage = std::variant<roles::RoleRequest, OriginBatch, streams::OriginQuery>;
+/** @throws UpdateUnreadable when the datagram is not an encoded message. */
+SidecarMessage decodeSidecarMessage(std::string_view datagram);
+
 /** @return the request as a MessagePack array. */
 std::string encode(const roles::RoleRequest& request);
 /** @throws UpdateUnreadable when the datagram is not an encoded request. */
--- a/libs/peers/src/OriginCodec.cpp
+++ b/libs/peers/src/OriginCodec.cpp
@@ -1,3 +1,4 @@
+#include "OriginKind.h"
 #include "Pack.h"
 #include "peers/Peers.h"
 
@@ -5,8 +6,6 @@
 
 namespace {
 
-    /** The kind of a message about the origin of a stream; updates begin with a text instead. */
-    enum class OriginKind : uint8_t { Note = 1, Query = 2, Reply = 3 };
     /** Kind, attempt, version. */
     using NoteTuple = std::tuple<uint8_t, std::string, std::string>;
     /** Kind, number, attempt, pool, address for the reply. */
@@ -47,17 +46,6 @@
 
 namespace {
 
-    /** @return whether the datagram is a short array that begins with a small number. Updates,
-     * which are much more frequent, are not decoded twice to find out. */
-    bool isOriginMessage(std::string_view datagram)
-    {
-        constexpr uint8_t ShortArray = 0x90;
-        constexpr uint8_t TypeMask = 0xf0;
-        constexpr uint8_t LargestSmallNumber = 0x7f;
-        return datagram.size() > 1 && (static_cast<uint8_t>(datagram[0]) & TypeMask) == ShortArray
-            && static_cast<uint8_t>(datagram[1]) <= LargestSmallNumber;
-    }
-
     /** @throws UpdateUnreadable when the array is shorter than the tuple. */
     template <typename Tuple> Tuple unpackArray(const msgpack::object& object)
     {
@@ -91,6 +79,9 @@
                 reply.view.versions.insert(SoftwareVersion(version));
             return reply;
         }
+        case OriginKind::Batch:
+            // Only sidecars receive these.
+            break;
         }
         throw UpdateUnreadable();
     }
--- a/libs/peers/tests/PeersTests.cpp
+++ b/libs/peers/tests/PeersTests.cpp
@@ -205,6 +205,45 @@
     cr_assert(std::holds_alternative<Update>(decodeMessage(update)));
 }
 
+Test(origin_batches, survive_encoding_and_are_told_from_role_requests_and_queries)
+{
+    const std::vector<streams::OriginNote> notes { { RequestId("a1"), SoftwareVersion("v1") },
+        { RequestId("a2"), SoftwareVersion("v2") }, { RequestId("a3"), SoftwareVersion("v1") } };
+    const SidecarMessage batch = decodeSidecarMessage(encode(OriginBatch { notes }));
+    std::map<RequestId, SoftwareVersion> received;
+    for (const streams::OriginNote& note : std::get<OriginBatch>(batch).notes)
+        received[note.attempt] = note.version;
+    cr_assert_eq(received.size(), notes.size());
+    for (const streams::OriginNote& note : notes)
+        cr_assert(received[note.attempt] == note.version);
+    const fleet::Address gateway { "127.0.0.1", 9000 };
+    const SidecarMessage query = decodeSidecarMessage(
+        encode(streams::OriginQuery { 7, RequestId("a1"), PoolId("llm"), gateway }));
+    cr_assert(std::get<streams::OriginQuery>(query).replyTo == gateway);
+    const roles::RoleChange change { TargetId("e1"), UnixMillis(5), EngineRole::Decode };
+    const SidecarMessage request
+        = decodeSidecarMessage(encode(roles::RoleRequest { EntryId("g"), gateway, change, 3 }));
+    cr_assert(std::get<roles::RoleRequest>(request).change == change);
+}
+
+Test(origin_batches, that_are_malformed_are_rejected)
+{
+    const std::string batch
+        = encode(OriginBatch { { { RequestId("a1"), SoftwareVersion("v1") } } });
+    const std::string reply = encode(streams::OriginReply {});
+    const std::string note = encode(streams::OriginNote {});
+    for (const std::string& malformed :
+        { std::string(), batch.substr(0, batch.size() - 1), batch.substr(0, 2), reply, note }) {
+        bool isRejected = false;
+        try {
+            decodeSidecarMessage(malformed);
+        } catch (const UpdateUnreadable&) {
+            isRejected = true;
+        }
+        cr_expect(isRejected);
+    }
+}
+
 Test(origin_messages, that_are_malformed_are_rejected)
 {
     const std::string query
--- a/libs/streams/include/streams/Streams.h
+++ b/libs/streams/include/streams/Streams.h
@@ -54,6 +54,8 @@
     VersionView view;
 };
 
+/** Callers' ids are random numbers of 16 digits; nothing is kept of much longer ones. */
+inline constexpr size_t MaxAttemptLength = 64;
 /** Number of other gateways to which a gateway sends the origin of a stream. */
 inline constexpr size_t HoldersPerStream = 3;
 /** Number of gateways that are asked: the holders, the gateway at which the stream began, and one
@@ -70,7 +72,22 @@
 std::vector<EntryId> holdersOf(
     const RequestId& attempt, std::span<const EntryId> gateways, const EntryId& self, size_t count);
 
-/** The origins of streams that a gateway began or holds for others. */
+/** Number of sidecars to which a gateway sends the origin of a stream as well: all gateways may be
+ * killed at once. */
+inline constexpr size_t SidecarsPerStream = 2;
+/** Number of sidecars that are asked: engines, and their machines with them, may have been added
+ * since the stream began. */
+inline constexpr size_t QueriedSidecars = 4;
+
+/**
+ * @param machines those of the engines of the stream's pool; repeated ones count once.
+ * @return the machines whose sidecars hold the origin of a stream, the first ones first. A gateway
+ *         that has just started finds the same ones from the list of targets.
+ */
+std::vector<EntryId> sidecarsOf(
+    const RequestId& attempt, std::vector<EntryId> machines, size_t count);
+
+/** The origins of streams that a process holds. */
 class StreamOrigins {
 public:
     /** @param capacity most streams; the oldest are dropped first. */
@@ -146,15 +163,19 @@
 /** Collects what the gateways know of the origin of one stream. */
 class OriginSearch {
 public:
-    /**
-     * @param own view of the gateway that searches; it has no record of the stream.
-     * @param asked number of gateways that are asked.
-     */
-    OriginSearch(VersionView own, size_t asked);
+    /** Numbers of processes that are asked. */
+    struct Asked {
+        size_t gateways = 0;
+        size_t sidecars = 0;
+    };
+    /** @param own view of the gateway that searches; it has no record of the stream. */
+    OriginSearch(VersionView own, const Asked& asked);
     void add(const OriginReply& reply);
+    /** Sidecars may have a record, but no view of the versions. */
+    void addFromSidecar(const OriginReply& reply);
     /** @return whether further replies cannot change the result. */
     bool isComplete() const noexcept;
-    size_t replies() const noexcept { return m_replied.size(); }
+    size_t replies() const noexcept { return m_replied.size() + m_sidecarsReplied.size(); }
     /**
      * Without a record, a stream began at the only version when the views together show no other
      * one: a view that covers the window, confirmed by contact with the store or by all gateways
@@ -163,8 +184,11 @@
     Origin result() const;
 
 private:
-    size_t m_asked;
+    bool haveGatewaysReplied() const noexcept { return m_replied.size() >= m_asked.gateways; }
+
+    Asked m_asked;
     std::set<EntryId> m_replied;
+    std::set<EntryId> m_sidecarsReplied;
     std::optional<SoftwareVersion> m_recorded;
     std::set<SoftwareVersion> m_versions;
     bool m_coversWindow;
--- a/libs/streams/src/OriginSearch.cpp
+++ b/libs/streams/src/OriginSearch.cpp
@@ -10,7 +10,7 @@
     return Names.at(static_cast<size_t>(basis));
 }
 
-OriginSearch::OriginSearch(VersionView own, size_t asked)
+OriginSearch::OriginSearch(VersionView own, const Asked& asked)
     : m_asked(asked)
     , m_versions(std::move(own.versions))
     , m_coversWindow(own.coversWindow)
@@ -30,13 +30,23 @@
     m_isConfirmed = m_isConfirmed || (view.coversWindow && view.isCurrent);
 }
 
-bool OriginSearch::isComplete() const noexcept { return m_recorded || m_replied.size() >= m_asked; }
+void OriginSearch::addFromSidecar(const OriginReply& reply)
+{
+    m_sidecarsReplied.insert(reply.gateway);
+    if (reply.origin)
+        m_recorded = reply.origin;
+}
+
+bool OriginSearch::isComplete() const noexcept
+{
+    return m_recorded || (haveGatewaysReplied() && m_sidecarsReplied.size() >= m_asked.sidecars);
+}
 
 Origin OriginSearch::result() const
 {
     if (m_recorded)
         return { Origin::Basis::Record, *m_recorded };
-    const bool isConfirmed = m_isConfirmed || (m_coversWindow && isComplete());
+    const bool isConfirmed = m_isConfirmed || (m_coversWindow && haveGatewaysReplied());
     if (m_versions.size() == 1 && isConfirmed)
         return { Origin::Basis::OnlyVersion, *m_versions.begin() };
     return {};
--- a/libs/streams/src/StreamOrigins.cpp
+++ b/libs/streams/src/StreamOrigins.cpp
@@ -1,5 +1,7 @@
 #include "streams/Streams.h"
 
+#include <algorithm>
+
 namespace citronspoke::streams {
 
 std::vector<EntryId> holdersOf(
@@ -10,6 +12,14 @@
     return firstByRendezvousRank(others, attempt.text(), count);
 }
 
+std::vector<EntryId> sidecarsOf(
+    const RequestId& attempt, std::vector<EntryId> machines, size_t count)
+{
+    std::sort(machines.begin(), machines.end());
+    machines.erase(std::unique(machines.begin(), machines.end()), machines.end());
+    return firstByRendezvousRank(machines, attempt.text(), count);
+}
+
 StreamOrigins::StreamOrigins(size_t capacity)
     : m_capacity(capacity)
 {
--- a/libs/streams/tests/StreamOriginsTests.cpp
+++ b/libs/streams/tests/StreamOriginsTests.cpp
@@ -183,7 +183,7 @@
 
 Test(origin_search, a_record_decides_at_once)
 {
-    OriginSearch search(view({ version("v1"), version("v2") }, true, true), 5);
+    OriginSearch search(view({ version("v1"), version("v2") }, true, true), { 5, 0 });
     search.add({ 1, {}, EntryId("g1"), std::nullopt, {} });
     cr_assert_not(search.isComplete());
     search.add({ 1, {}, EntryId("g2"), version("v2"), {} });
@@ -225,7 +225,7 @@
             view({ version(""), version("v1") }, true, true), true },
     };
     for (const Case& item : cases) {
-        OriginSearch search(item.own, 1);
+        OriginSearch search(item.own, { 1, 0 });
         if (item.hasReplied)
             search.add({ 1, {}, EntryId("g1"), std::nullopt, item.reply });
         cr_expect(search.result().basis == item.expected, "%s", item.name.data());
