--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -107,7 +107,7 @@
     settings.store = m_store.address().text();
     settings.sidecarPort = m_sidecarPort;
     settings.stopGrace = Milliseconds(20000);
-    settings.retries = { 10, 100, Milliseconds(10000) };
+    settings.retries = m_retryLimits;
     running->gateway = std::make_unique<Gateway>(running->loop, settings);
     running->gateway->start();
     running->thread = std::jthread([&loop = running->loop] { loop.run(); });
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -53,6 +53,9 @@
     /** Ends a gateway as if it were killed. @param number from 0. */
     void killGateway(size_t number) { m_gateways.at(number).reset(); }
 
+    /** Of the gateways that are started from now on. */
+    void setRetryLimits(const settings::RetryLimits& limits) { m_retryLimits = limits; }
+
     fakes::FakeFleetStore& store() { return m_store; }
     /** @return where callers connect to a gateway. @param gateway its number, from 0. */
     fleet::Address callers(size_t gateway = 0) const
@@ -91,6 +94,7 @@
     std::vector<std::unique_ptr<fakes::FakeHttpServer>> m_targets;
     localfleet::PortPicker m_ports;
     uint16_t m_sidecarPort;
+    settings::RetryLimits m_retryLimits { 10, 100, Milliseconds(10000) };
     std::vector<std::unique_ptr<RunningGateway>> m_gateways;
 };
 
