Fault soak: resumed streams go on while a target of their version serves

Cause: the soak counted resumed streams without asking whether they could go on, and callers gave up after four tries, within 0.2 s after a kill that the gateways need longer to start from. Change: decode engines state which version they serve without a fault. Callers resume for 1 s, a third of their time. Over all seeds of a run, 0.9 of the streams that were resumed while an engine of their version served must go on, for kills of all gateways and otherwise, from 20 streams on.

--- a/tests/soak/RunHistory.cpp
+++ b/tests/soak/RunHistory.cpp
@@ -37,19 +37,58 @@
         sent->second.answeredAt = steadyNow();
 }
 
-void RunHistory::recordResume(bool isServed)
+void RunHistory::Resumes::add(const Resumes& other)
+{
+    all += other.all;
+    served += other.served;
+}
+
+void RunHistory::recordKillOfAll()
+{
+    std::lock_guard lock(m_mutex);
+    m_lastKillOfAll = steadyNow();
+}
+
+std::optional<SteadyTime> RunHistory::lastKillOfAll() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_lastKillOfAll;
+}
+
+void RunHistory::recordServing(const std::string& engine, const std::string& version)
 {
     std::lock_guard lock(m_mutex);
-    m_resumes.first += 1;
-    m_resumes.second += isServed ? 1 : 0;
+    m_servedVersions[engine] = version;
 }
 
-std::pair<size_t, size_t> RunHistory::resumes() const
+bool RunHistory::isServing(const std::string& version) const
+{
+    std::lock_guard lock(m_mutex);
+    return std::any_of(m_servedVersions.begin(), m_servedVersions.end(),
+        [&version](const auto& item) { return item.second == version; });
+}
+
+void RunHistory::recordResume(bool isServed, std::optional<KillMode> mode)
+{
+    const Resumes resume { 1, isServed ? 1U : 0U };
+    std::lock_guard lock(m_mutex);
+    m_resumes.add(resume);
+    if (mode)
+        m_resumesByMode[*mode].add(resume);
+}
+
+RunHistory::Resumes RunHistory::resumes() const
 {
     std::lock_guard lock(m_mutex);
     return m_resumes;
 }
 
+RunHistory::ResumesByMode RunHistory::resumesByMode() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_resumesByMode;
+}
+
 size_t RunHistory::runs(const std::string& attempt) const
 {
     std::lock_guard lock(m_mutex);
--- a/tests/soak/RunHistory.h
+++ b/tests/soak/RunHistory.h
@@ -41,11 +41,30 @@
     /** Records that a target began to run an attempt. */
     void recordRun(const std::string& attempt, const std::string& target);
     void recordResult(const std::string& attempt, CallerResult result);
+    /** Streams that callers resumed, and how many of these went on to their end. */
+    struct Resumes {
+        size_t all = 0;
+        size_t served = 0;
+
+        void add(const Resumes& other);
+    };
+    /** How gateways were killed. */
+    enum class KillMode : uint8_t { Single, All };
+    using ResumesByMode = std::map<KillMode, Resumes>;
+    /** Records that all gateways were killed. */
+    void recordKillOfAll();
+    /** @return when all gateways were last killed. */
+    std::optional<SteadyTime> lastKillOfAll() const;
+    /** Records that a decode engine serves streams of a version; empty: of none any longer. */
+    void recordServing(const std::string& engine, const std::string& version);
+    /** @return whether a decode engine without a fault serves streams of the version. */
+    bool isServing(const std::string& version) const;
     /** Records that a caller resumed a stream, with one or more tries, and whether it got the rest.
-     */
-    void recordResume(bool isServed);
-    /** @return how many streams callers resumed, and how many of these went on to their end. */
-    std::pair<size_t, size_t> resumes() const;
+     * @param mode none when no engine of its version served all the time. */
+    void recordResume(bool isServed, std::optional<KillMode> mode);
+    Resumes resumes() const;
+    /** @return the resumed streams of whose version an engine served all the time. */
+    ResumesByMode resumesByMode() const;
     /** @return how often targets ran the attempt. */
     size_t runs(const std::string& attempt) const;
     /** @return how many attempts ended with this result. */
@@ -86,7 +105,10 @@
         size_t lateArrivals = 0;
     };
     std::map<std::string, CrashingPart> m_crashingParts;
-    std::pair<size_t, size_t> m_resumes;
+    Resumes m_resumes;
+    ResumesByMode m_resumesByMode;
+    std::optional<SteadyTime> m_lastKillOfAll;
+    std::map<std::string, std::string> m_servedVersions;
 };
 
 } // namespace citronspoke::soak
--- a/tests/soak/SoakCaller.h
+++ b/tests/soak/SoakCaller.h
@@ -43,6 +43,8 @@
     void sendCrashing(const fleet::Address& gateway, const std::string& part);
     /** @return whether the last stream broke off after its first event. */
     bool hasBrokenStream() const noexcept { return m_brokenStream.has_value(); }
+    /** @return the software version of that stream. */
+    const std::string& brokenVersion() const { return m_brokenStream->version; }
     /** Resumes that stream. */
     CallerResult resumeStream(const fleet::Address& gateway);
     /** @return the response to a repeatable request for an application's path. */
--- a/tests/soak/SoakFleetFaults.cpp
+++ b/tests/soak/SoakFleetFaults.cpp
@@ -133,7 +133,7 @@
                 place.target->setFaults(faults);
             },
             [&place] {
-                place.target->setFaults({});
+                place.target->endFaults();
                 place.hasFault = false;
             },
             DrainLimit };
@@ -142,6 +142,7 @@
 
 void SoakFleet::killAllGateways()
 {
+    m_history.recordKillOfAll();
     for (GatewayPlace& place : m_gateways)
         place.process->kill();
 }
@@ -328,7 +329,7 @@
     place.hasFault = true;
     return { place.target->id() + " " + name, [&place, faults] { place.target->setFaults(faults); },
         [&place] {
-            place.target->setFaults({});
+            place.target->endFaults();
             place.hasFault = false;
         },
         duration };
--- a/tests/soak/SoakTarget.cpp
+++ b/tests/soak/SoakTarget.cpp
@@ -86,6 +86,7 @@
 {
     m_server.reset();
     m_restarter = {};
+    m_context.history.recordServing(m_id, {});
     m_context.handles.dropEngine(m_id);
 }
 
@@ -93,11 +94,29 @@
 {
     std::lock_guard lock(m_mutex);
     m_faults = faults;
+    m_hasFaults = true;
+    recordServing();
+}
+
+void SoakTarget::endFaults()
+{
+    std::lock_guard lock(m_mutex);
+    m_faults = {};
+    m_hasFaults = false;
+    recordServing();
+}
+
+void SoakTarget::recordServing()
+{
+    const bool isServing = m_role == EngineRole::Decode && !m_hasFaults && !m_drainStartedAt
+        && !m_announcesLeaving && !m_isChangingRole && !m_isCrashed;
+    m_context.history.recordServing(m_id, isServing ? m_version : std::string());
 }
 
 void SoakTarget::publish()
 {
     std::lock_guard lock(m_mutex);
+    recordServing();
     const std::string role = m_role ? std::string(toText(*m_role)) : "";
     m_context.store.put("servers/" + m_id,
         fakes::entryText({ m_pool, m_published, role, m_drainStartedAt ? "draining" : "ready",
@@ -350,6 +369,7 @@
         }
         m_orders += 1;
         m_isChangingRole = true;
+        recordServing();
     }
     connection.answer(202, {}, "");
     std::this_thread::sleep_for(RoleChangeTime);
--- a/tests/soak/SoakTarget.h
+++ b/tests/soak/SoakTarget.h
@@ -90,12 +90,18 @@
     const std::string& id() const noexcept { return m_id; }
     fleet::Address address() const { return m_server->address(); }
     void setFaults(const TargetFaults& faults);
+    /** Ends the faults. */
+    void endFaults();
     /** Writes the target record to the store. */
     void publish();
     /** Publishes the state "draining" and announces it in each response. */
     void startDraining();
     /** Announces in each response that it is leaving, while its record states that it serves. */
-    void announceLeaving() { m_announcesLeaving = true; }
+    void announceLeaving()
+    {
+        m_announcesLeaving = true;
+        m_context.history.recordServing(m_id, {});
+    }
     /** @return the number of requests being served. */
     size_t running() const noexcept { return m_running; }
 
@@ -133,6 +139,8 @@
     void crash(const std::string& part);
     void restart(const std::stop_token& stop);
     bool drawWithProbability(double share);
+    /** Records whether this engine serves streams; to be called with the mutex locked. */
+    void recordServing();
 
     TargetContext m_context;
     std::string m_id;
@@ -143,6 +151,7 @@
     mutable std::mutex m_mutex;
     std::optional<EngineRole> m_role;
     TargetFaults m_faults;
+    bool m_hasFaults = false;
     std::mt19937_64 m_random;
     std::optional<SteadyTime> m_drainStartedAt;
     std::atomic<bool> m_announcesLeaving { false };
--- a/tests/soak/SoakTargetCrashes.cpp
+++ b/tests/soak/SoakTargetCrashes.cpp
@@ -32,6 +32,7 @@
         return;
     m_crashes += 1;
     m_context.history.recordPartCrash(part);
+    m_context.history.recordServing(m_id, {});
     m_context.handles.dropEngine(m_id);
     m_restarter = std::jthread([this](const std::stop_token& stop) { restart(stop); });
 }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -37,6 +37,16 @@
 /** A process that has run for this long must know the last declaration. */
 constexpr Milliseconds StartupTime { 3000 };
 
+/** Of the streams that callers resume while their version serves, the share that must go on. */
+constexpr double ResumedShare = 0.9;
+/** The share is checked where there were so many. */
+constexpr size_t MinResumes = 20;
+
+std::string_view toText(RunHistory::KillMode mode)
+{
+    return mode == RunHistory::KillMode::All ? "all gateways killed" : "not all gateways killed";
+}
+
 /** One run: a fleet, its callers, and faults drawn from a seed. */
 class SoakRun {
 public:
@@ -74,12 +84,17 @@
              << m_history.results(CallerResult::Refused) << ", failed "
              << m_history.results(CallerResult::Failed) << ", broken "
              << m_history.results(CallerResult::Broken) << ", streams resumed by callers "
-             << m_history.resumes().first << ", of these served " << m_history.resumes().second;
+             << m_history.resumes().all << ", of these served " << m_history.resumes().served;
+        for (const auto& [mode, resumes] : m_history.resumesByMode())
+            text << ", while their version served and " << toText(mode) << " " << resumes.served
+                 << " of " << resumes.all;
         if (m_options.hasCrashingParts)
             text << ", engines crashed by prompt parts " << m_history.partCrashes();
         return text.str();
     }
 
+    RunHistory::ResumesByMode resumesByMode() const { return m_history.resumesByMode(); }
+
 private:
     void logStep(const std::string& what)
     {
@@ -127,11 +142,31 @@
         endDue(SteadyTime::max());
     }
 
+    /** @param sentAt when the request that began the stream was sent. */
+    void resumeStream(SoakCaller& caller, SteadyTime sentAt, std::mt19937_64& random)
+    {
+        constexpr Milliseconds Pause { 50 };
+        // Callers wait for the next event for about a third of their remaining time.
+        constexpr Milliseconds ResumeTime { 1000 };
+        const SteadyTime end = steadyNow() + ResumeTime;
+        const std::string version = caller.brokenVersion();
+        bool hasServed = m_history.isServing(version);
+        while (caller.hasBrokenStream() && steadyNow() < end) {
+            caller.resumeStream(m_fleet.callerAddress(random() % m_fleet.gateways()));
+            hasServed = hasServed && m_history.isServing(version);
+            std::this_thread::sleep_for(Pause);
+        }
+        const std::optional<SteadyTime> killedAt = m_history.lastKillOfAll();
+        const RunHistory::KillMode mode = killedAt && *killedAt >= sentAt
+            ? RunHistory::KillMode::All
+            : RunHistory::KillMode::Single;
+        m_history.recordResume(
+            !caller.hasBrokenStream(), hasServed ? std::optional(mode) : std::nullopt);
+    }
+
     void sendRequests(size_t number)
     {
         constexpr uint64_t LeavesEarlyOneIn = 20;
-        constexpr size_t ResumesPerStream = 4;
-        constexpr Milliseconds ResumePause { 50 };
         constexpr Milliseconds Pause { 5 };
         SoakCaller caller("c" + std::to_string(number), m_history);
         std::mt19937_64 random(m_options.seed * 1000 + number);
@@ -140,15 +175,11 @@
             const Work work = static_cast<Work>(random() % 4);
             // Crashes cut streams, as do kills of gateways.
             const bool mayCut = !m_options.isPlannedOnly || m_options.hasCrashingParts;
+            const SteadyTime sentAt = steadyNow();
             const CallerResult result = caller.sendRequest(
                 m_fleet.callerAddress(gateway), work, !mayCut, random() % LeavesEarlyOneIn == 0);
-            const bool isResumed = caller.hasBrokenStream();
-            for (size_t tries = 0; caller.hasBrokenStream() && tries < ResumesPerStream; ++tries) {
-                caller.resumeStream(m_fleet.callerAddress(random() % m_fleet.gateways()));
-                std::this_thread::sleep_for(ResumePause);
-            }
-            if (isResumed)
-                m_history.recordResume(!caller.hasBrokenStream());
+            if (caller.hasBrokenStream())
+                resumeStream(caller, sentAt, random);
             if (result != CallerResult::Served || random() % 8 == 0)
                 gateway = random() % m_fleet.gateways();
             std::this_thread::sleep_for(Pause);
@@ -242,8 +273,9 @@
     std::atomic<bool> m_isStopping { false };
 };
 
-/** @return whether all guarantees held. */
-bool runSeed(uint64_t seed)
+/** @return whether all guarantees held.
+ * @param resumes gets the resumed streams added. */
+bool runSeed(uint64_t seed, RunHistory::ResumesByMode& resumes)
 {
     SoakOptions options;
     options.seed = seed;
@@ -265,6 +297,8 @@
         SoakRun soakRun(options);
         violations = soakRun.run();
         summary = soakRun.summary();
+        for (const auto& [mode, counts] : soakRun.resumesByMode())
+            resumes[mode].add(counts);
     }
     std::cout << "seed " << seed << (options.isPlannedOnly ? " planned: " : " any: ") << summary
               << "\n";
@@ -294,6 +328,22 @@
     return seeds;
 }
 
+/** @return whether enough of the resumed streams of all seeds went on. */
+bool checkResumes(const RunHistory::ResumesByMode& resumes)
+{
+    bool isMet = true;
+    for (const auto& [mode, counts] : resumes) {
+        std::cout << "streams resumed while their version served, " << toText(mode) << ": "
+                  << counts.served << " of " << counts.all << " went on\n";
+        if (counts.all < MinResumes
+            || static_cast<double>(counts.served) >= ResumedShare * static_cast<double>(counts.all))
+            continue;
+        std::cout << "  broken: resumed: fewer than " << ResumedShare << "\n";
+        isMet = false;
+    }
+    return isMet;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -302,7 +352,9 @@
         "Runs the gateway and sidecar programs under random faults and checks their guarantees.");
     absl::ParseCommandLine(argc, argv);
     bool allPassed = true;
+    RunHistory::ResumesByMode resumes;
     for (const uint64_t seed : seeds())
-        allPassed = runSeed(seed) && allPassed;
+        allPassed = runSeed(seed, resumes) && allPassed;
+    allPassed = checkResumes(resumes) && allPassed;
     return allPassed ? 0 : 1;
 }
