A restore of the store ends what a gateway's view of the versions covers

Cause: between a restore and the reading of all keys, changes of the targets are missed, while the view still counted as complete. Change: no time is covered until the keys are read again.

--- a/apps/gateway/VersionRecords.cpp
+++ b/apps/gateway/VersionRecords.cpp
@@ -205,7 +205,9 @@
 
 streams::TargetContact VersionRecords::contact() const
 {
-    return { m_readAt, m_context.declarationAge() <= m_context.settings.applyTime };
+    // After a restore, changes are missed until all keys are read again.
+    return { m_areRecordsCurrent ? m_readAt : std::nullopt,
+        m_context.declarationAge() <= m_context.settings.applyTime };
 }
 
 streams::VersionView VersionRecords::viewOf(const PoolId& pool)
