--- a/apps/gateway/DutyRunner.cpp
+++ b/apps/gateway/DutyRunner.cpp
@@ -129,7 +129,7 @@
         return;
     const Milliseconds wait
         = AcquireDelay * static_cast<int64_t>(std::min(m_usage.place(), MaxPlace));
-    const bool isInContact = m_context.declarationAge() <= m_context.settings.applyTime;
+    const bool isInContact = m_context.storeAge() <= m_context.settings.applyTime;
     if (!isInContact || time < m_acquireAt || time - m_vacantSince < wait)
         return;
     m_grantSentAt = time;
--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -128,7 +128,7 @@
     settings.revokeTime = m_revokeTime.value_or(settings.revokeTime);
     settings.sidecarPort = m_sidecarPort;
     settings.stopGrace = Milliseconds(20000);
-    settings.retries = { 10, 100, Milliseconds(10000) };
+    settings.retries = m_retryLimits;
     if (adjustSettings)
         adjustSettings(number, settings);
     running->gateway
--- a/libs/peers/src/OriginCodec.cpp
+++ b/libs/peers/src/OriginCodec.cpp
@@ -1,11 +1,10 @@
 #include "DutyCodec.h"
+#include "OriginKind.h"
 
 namespace citronspoke::peers {
 
 namespace {
 
-    /** The kind of a message about the origin of a stream; updates begin with a text instead. */
-    enum class OriginKind : uint8_t { Note = 1, Query = 2, Reply = 3 };
     /** Kind, attempt, version. */
     using NoteTuple = std::tuple<uint8_t, std::string, std::string>;
     /** Kind, number, attempt, pool, address for the reply. */
@@ -46,17 +45,6 @@
 
 namespace {
 
-    /** @return whether the datagram is a short array that begins with a small number. Updates,
-     * which are much more frequent, are not decoded twice to find out. */
-    bool isOriginMessage(std::string_view datagram)
-    {
-        constexpr uint8_t ShortArray = 0x90;
-        constexpr uint8_t TypeMask = 0xf0;
-        constexpr uint8_t LargestSmallNumber = 0x7f;
-        return datagram.size() > 1 && (static_cast<uint8_t>(datagram[0]) & TypeMask) == ShortArray
-            && static_cast<uint8_t>(datagram[1]) <= LargestSmallNumber;
-    }
-
     Message decodeOriginMessage(const msgpack::object& object)
     {
         switch (static_cast<OriginKind>(object.via.array.ptr[0].as<uint8_t>())) {
@@ -81,6 +69,9 @@
                 reply.view.versions.insert(SoftwareVersion(version));
             return reply;
         }
+        case OriginKind::Batch:
+            // Only sidecars receive these.
+            break;
         }
         throw UpdateUnreadable();
     }
--- a/libs/streams/include/streams/Streams.h
+++ b/libs/streams/include/streams/Streams.h
@@ -27,7 +27,7 @@
 struct VersionView {
     /** Versions of the targets within the window that the view was made for. */
     std::set<SoftwareVersion> versions;
-    /** The gateway has read the targets and the store's record of earlier versions. */
+    /** The gateway has followed the targets without a gap for the whole window. */
     bool coversWindow = false;
     /** The gateway is in contact with the store, so that it would have learned of a new version. */
     bool isCurrent = false;
@@ -54,6 +54,8 @@
     VersionView view;
 };
 
+/** Callers' ids are random numbers of 16 digits; nothing is kept of much longer ones. */
+inline constexpr size_t MaxAttemptLength = 64;
 /** Number of other gateways to which a gateway sends the origin of a stream. */
 inline constexpr size_t HoldersPerStream = 3;
 /** Number of gateways that are asked: the holders, the gateway at which the stream began, and one
@@ -70,7 +72,22 @@
 std::vector<EntryId> holdersOf(
     const RequestId& attempt, std::span<const EntryId> gateways, const EntryId& self, size_t count);
 
-/** The origins of streams that a gateway began or holds for others. */
+/** Number of sidecars to which a gateway sends the origin of a stream as well: all gateways may be
+ * killed at once. */
+inline constexpr size_t SidecarsPerStream = 2;
+/** Number of sidecars that are asked: engines, and their machines with them, may have been added
+ * since the stream began. */
+inline constexpr size_t QueriedSidecars = 4;
+
+/**
+ * @param machines those of the engines of the stream's pool; repeated ones count once.
+ * @return the machines whose sidecars hold the origin of a stream, the first ones first. A gateway
+ *         that has just started finds the same ones from the list of targets.
+ */
+std::vector<EntryId> sidecarsOf(
+    const RequestId& attempt, std::vector<EntryId> machines, size_t count);
+
+/** The origins of streams that a process holds. */
 class StreamOrigins {
 public:
     /** @param capacity most streams; the oldest are dropped first. */
@@ -91,19 +108,30 @@
     std::deque<std::pair<SteadyTime, RequestId>> m_order;
 };
 
+/** How a gateway has followed the targets in the store. */
+struct TargetContact {
+    /**
+     * Since when the gateway has received every change of the targets; none before it has read
+     * them. Which versions served earlier is not known: the store's records may be missing, late or
+     * restored, and name versions that have served but do not show that no other one has.
+     */
+    std::optional<SteadyTime> followedSince;
+    /** The gateway is in contact with the store. */
+    bool isCurrent = false;
+};
+
 /** The versions of a pool's targets over time, as one gateway sees them. */
 class VersionHistory {
 public:
     /** @param present versions of the targets that the pool has now. */
     void note(std::set<SoftwareVersion> present, SteadyTime now);
+    /** The pool has a target of this version, or had one for a moment. */
+    void noteSeen(const SoftwareVersion& version, SteadyTime now);
     /** @param recorded versions that the store's record of the pool names. */
     void noteRecorded(const std::set<SoftwareVersion>& recorded, SteadyTime now);
     bool isPresent(const SoftwareVersion& version) const { return m_present.contains(version); }
-    /**
-     * @param window how far the view reaches back.
-     * @param isCurrent the gateway is in contact with the store.
-     */
-    VersionView view(SteadyTime now, Milliseconds window, bool isCurrent) const;
+    /** @param window how far the view reaches back. */
+    VersionView view(SteadyTime now, Milliseconds window, const TargetContact& contact) const;
     /** Forgets versions that were last present, or recorded, longer ago than @p window. */
     void expire(SteadyTime now, Milliseconds window);
 
@@ -135,15 +163,19 @@
 /** Collects what the gateways know of the origin of one stream. */
 class OriginSearch {
 public:
-    /**
-     * @param own view of the gateway that searches; it has no record of the stream.
-     * @param asked number of gateways that are asked.
-     */
-    OriginSearch(VersionView own, size_t asked);
+    /** Numbers of processes that are asked. */
+    struct Asked {
+        size_t gateways = 0;
+        size_t sidecars = 0;
+    };
+    /** @param own view of the gateway that searches; it has no record of the stream. */
+    OriginSearch(VersionView own, const Asked& asked);
     void add(const OriginReply& reply);
+    /** Sidecars may have a record, but no view of the versions. */
+    void addFromSidecar(const OriginReply& reply);
     /** @return whether further replies cannot change the result. */
     bool isComplete() const noexcept;
-    size_t replies() const noexcept { return m_replied.size(); }
+    size_t replies() const noexcept { return m_replied.size() + m_sidecarsReplied.size(); }
     /**
      * Without a record, a stream began at the only version when the views together show no other
      * one: a view that covers the window, confirmed by contact with the store or by all gateways
@@ -152,8 +184,11 @@
     Origin result() const;
 
 private:
-    size_t m_asked;
+    bool haveGatewaysReplied() const noexcept { return m_replied.size() >= m_asked.gateways; }
+
+    Asked m_asked;
     std::set<EntryId> m_replied;
+    std::set<EntryId> m_sidecarsReplied;
     std::optional<SoftwareVersion> m_recorded;
     std::set<SoftwareVersion> m_versions;
     bool m_coversWindow;
