Reports of organisations' engine time between gateways

Cause: shares need the engine time of all gateways, and everybody telling everybody would take 300 KB/s a gateway at 330 gateways. Change: a message and a codec of its own.

--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -4,6 +4,7 @@
 #include "dispatch/Dispatch.h"
 #include "quarantine/Quarantine.h"
 #include "roles/Roles.h"
+#include "shares/Shares.h"
 #include "streams/Streams.h"
 
 #include <variant>
@@ -12,8 +13,8 @@
  * Datagrams between the processes of the system. Gateways exchange updates: work in flight, cached
  * prompt parts, crash reports, lost, replaced and leaving targets, request limits that targets
  * state, roles and the demand for them. They request role changes from sidecars, which report roles
- * in updates of their own. The origins of streams are sent to single gateways, in messages of their
- * own.
+ * in updates of their own. The origins of streams and reports of the engine time of organisations
+ * are sent to single gateways, in messages of their own.
  */
 namespace citronspoke::peers {
 
@@ -85,8 +86,8 @@
 Update decode(std::string_view datagram);
 
 /** What a gateway may receive from another process. */
-using Message
-    = std::variant<Update, streams::OriginNote, streams::OriginQuery, streams::OriginReply>;
+using Message = std::variant<Update, streams::OriginNote, streams::OriginQuery,
+    streams::OriginReply, shares::UseReport>;
 /** @throws UpdateUnreadable when the datagram is not an encoded message. */
 Message decodeMessage(std::string_view datagram);
 
@@ -94,6 +95,7 @@
 std::string encode(const streams::OriginNote& note);
 std::string encode(const streams::OriginQuery& query);
 std::string encode(const streams::OriginReply& reply);
+std::string encode(const shares::UseReport& report);
 
 /** @return the request as a MessagePack array. */
 std::string encode(const roles::RoleRequest& request);
--- a/libs/peers/src/OriginCodec.cpp
+++ b/libs/peers/src/OriginCodec.cpp
@@ -1,5 +1,5 @@
 #include "Pack.h"
-#include "peers/Peers.h"
+#include "UseCodec.h"
 
 namespace citronspoke::peers {
 
@@ -99,6 +99,8 @@
 
 Message decodeMessage(std::string_view datagram)
 {
+    if (isUseReport(datagram))
+        return decodeUseReport(datagram);
     if (!isOriginMessage(datagram))
         return decode(datagram);
     try {
