Gateways admit requests and order prompts by organisations' shares

Cause: libs/shares was not used. Change: where the declaration has organisations, a gateway counts their engine time, exchanges it with the other gateways, orders prompts over their share behind others of their priority, and refuses what can no longer be served in time before a prompt is placed, a decode or a run is sent.

--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -126,6 +126,15 @@
     return engines;
 }
 
+PoolShares* GatewayContext::sharesOf(const PoolId& pool)
+{
+    if (!routes || !routes->declaration().organisations) {
+        poolShares.clear();
+        return nullptr;
+    }
+    return &poolShares.try_emplace(pool, EntryId(settings.id), pool).first->second;
+}
+
 double GatewayContext::randomFraction()
 {
     return std::uniform_real_distribution<double>(0, 1)(m_random);
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -2,6 +2,7 @@
 
 #include "CrashQuarantine.h"
 #include "PartQuarantine.h"
+#include "PoolShares.h"
 #include "conditions/Conditions.h"
 #include "dispatch/Dispatch.h"
 #include "roles/Roles.h"
@@ -34,6 +35,8 @@
     conditions::RequestedPauses requestedPauses;
     conditions::RequestPacer pacer;
     dispatch::RetryBudget retryBudget;
+    /** Shares of organisations; empty where the declaration has none. */
+    std::map<PoolId, PoolShares> poolShares;
     /** Requests that may crash the targets that run them. */
     CrashQuarantine crashQuarantine;
     /** Prompt parts that crash the engines that decode prompts with them. */
@@ -93,6 +96,9 @@
      */
     std::vector<dispatch::TargetState*> enginesInRole(const PoolId& pool, EngineRole role);
 
+    /** @return null where the declaration has no organisations. */
+    PoolShares* sharesOf(const PoolId& pool);
+
     /** @return uniform in [0, 1). */
     double randomFraction();
 
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -220,6 +220,7 @@
     noteStatedLimits();
     dropMissingPeers(steadyNow());
     resendDepartures(steadyNow());
+    sendUseReports(steadyNow());
     for (const TargetId& target : m_context.statedLimits.expire(steadyNow()))
         m_context.noteLimitChanged(target, "expiry");
     m_context.pacer.expire(steadyNow());
@@ -379,6 +380,7 @@
     void operator()(const streams::OriginNote& note) const { streams.onNote(note); }
     void operator()(const streams::OriginQuery& query) const { streams.onQuery(query); }
     void operator()(const streams::OriginReply& reply) const { streams.onReply(reply); }
+    void operator()(const shares::UseReport& report) const { group.onUseReport(report); }
 };
 
 void PeerGroup::onDatagram(std::string_view datagram)
--- a/apps/gateway/PeerGroup.h
+++ b/apps/gateway/PeerGroup.h
@@ -74,6 +74,7 @@
     };
 
     void onUpdate(const peers::Update& update, SteadyTime now);
+    void onUseReport(const shares::UseReport& report);
     void noteRoleReport(const roles::RoleReport& report, bool isFromSidecar, SteadyTime now);
     void addPeer(const adapter::StoreItem& item);
     void removePeer(const EntryId& id, SteadyTime mayReturnUntil, SteadyTime now);
@@ -83,6 +84,7 @@
     void scheduleSend();
     void sendUpdates();
     void resendReports();
+    void sendUseReports(SteadyTime now);
     void resendDepartures(SteadyTime now);
     void onDatagram(std::string_view datagram);
 
--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -167,7 +167,7 @@
         m_context.zone, m_context.randomFraction(), steadyNow());
     if (!state)
         return awaitTurn(states);
-    if (confirmIncarnation(state->record))
+    if (refuseUnmeetableRun(*state) || confirmIncarnation(state->record))
         return true;
     dispatch::Load load { 1, {}, 0 };
     if (m_callerInfo.prompt)
@@ -190,13 +190,14 @@
     for (dispatch::TargetState* state : states)
         state->isConnected = m_context.targetConnections.hasIdle(
             { state->record.address, state->record.id.text() });
-    const dispatch::PromptGoal goal { m_route->priority, m_route->latencyObjective - age(),
-        m_context.zone };
+    const dispatch::PromptGoal goal = promptGoal();
     const dispatch::PromptPlacement placement = dispatch::placePrompt(readyTargets(states),
         cachingEngines, *m_callerInfo.prompt, goal, m_context.prefixCacheIndex,
         m_context.prefillSpeeds[m_pool->id], m_excludedTargets, steadyNow());
     if (!placement.engine)
         return !mayRunWhole() && awaitTurn(states);
+    if (refuseUnmeetablePrompt(placement))
+        return true;
     if (m_attempts == 0)
         m_context.demandMeters[m_pool->id].notePrompt(
             m_context.prefillSpeeds[m_pool->id].estimate(placement.tokensToPrefill), steadyNow());
@@ -211,6 +212,7 @@
     load.promptTokens[placement.urgency] = placement.tokensToPrefill;
     send(Step::Prefill, placement.engine->record, load, std::move(fields));
     m_attempt->tokensAhead = placement.tokensAhead;
+    notePromptSent(placement);
     return true;
 }
 
@@ -223,7 +225,7 @@
         = dispatch::chooseDecodeEngine(readyTargets(states), m_excludedTargets, goal, steadyNow());
     if (!state)
         return awaitTurn(states);
-    if (confirmIncarnation(state->record))
+    if (refuseUnmeetableRun(*state) || confirmIncarnation(state->record))
         return true;
     adapter::TargetRequestFields fields;
     fields.stage = adapter::DecodeFromHandle { m_prefilledPrompt->prefillEngine.address,
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -78,6 +78,9 @@
         bool hasAnswerBegun = false;
         /** Its body is streamed to the caller as it arrives. */
         bool isRelayed = false;
+        /** Expected engine time and wait of a prefill, in deployments with organisations. */
+        shares::EngineMilliseconds engineTime = 0;
+        Milliseconds expectedWait { 0 };
     };
 
     /** A prompt whose KV cache a prefill engine holds for a decode engine. */
@@ -152,6 +155,21 @@
     bool isTurnValid(const Turn& turn, const fleet::TargetRecord& target) const;
     void cancelTurn(std::optional<Turn>& turn);
 
+    /** @return the shares of the pool; null where the declaration has no organisations. */
+    PoolShares* poolShares();
+    dispatch::PromptGoal promptGoal();
+    // Each returns whether the request was refused, because it can no longer be served within its
+    // caller's time limit.
+    bool refuseUnmeetablePrompt(const dispatch::PromptPlacement& placement);
+    bool refuseUnmeetableRun(const dispatch::TargetState& target);
+    bool refuseUnmeetable(PoolShares& shares, Milliseconds wait, Milliseconds duration);
+    /** Adds the engine time of a prompt that was sent to its organisation's use. */
+    void notePromptSent(const dispatch::PromptPlacement& placement);
+    /** The current attempt is over; does nothing unless it is a prefill. */
+    void notePrefillEnded(bool hasRun);
+    /** Adds the engine time of a run or a decode to its organisation's use. */
+    void noteRunFinished();
+
     bool isOwnResponse(const http1::ResponseHead& head) const;
     /** Counts a stream that goes on at the current attempt's target. */
     void countResume() const;
@@ -226,6 +244,8 @@
     /** That of the caller's key; empty where the deployment declares no organisations, and for
      * public routes without a known key. */
     OrganisationId m_organisation;
+    /** As of the last placement of its prompt. */
+    bool m_isOverShare = false;
     SteadyTime m_deadline;
     channels::Timer m_deadlineTimer;
     std::unique_ptr<Attempt> m_attempt;
--- a/apps/gateway/RequestHandlerOutcomes.cpp
+++ b/apps/gateway/RequestHandlerOutcomes.cpp
@@ -134,9 +134,11 @@
     if (m_attempt) {
         step = stepName(m_attempt->step);
         stepTime = millisecondsText(since(m_attempt->startedAt));
-        if (m_attempt->step == Step::Prefill && m_attempt->load != dispatch::Load {})
+        if (m_attempt->step == Step::Prefill && m_attempt->load != dispatch::Load {}) {
             m_context.prefixCacheIndex.noteNotPrefilled(
                 m_attempt->target.id, m_callerInfo.prompt->parts);
+            notePrefillEnded(false);
+        }
         endAttempt(dispatch::AttemptResult::Served);
         if (m_attempt->exchange)
             m_attempt->exchange->cancel();
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -210,6 +210,7 @@
 
 void RequestHandler::afterAttempt(Outcome outcome)
 {
+    notePrefillEnded(outcome != Outcome::NotExecuted && outcome != Outcome::NotSent);
     switch (outcome) {
     case Outcome::Served:
         endAttempt(dispatch::AttemptResult::Served);
@@ -280,6 +281,7 @@
     switch (outcome) {
     case Outcome::Served:
         noteDecodeFinished();
+        noteRunFinished();
         m_prefilledPrompt.reset();
         finishServed();
         return;
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -334,6 +334,10 @@
     ZoneId zone;
     /** Its organisation uses more than its share of the pool. */
     bool isOverShare = false;
+    /** The pool is short of capacity, which is divided among organisations by their shares. */
+    bool isDividedByShares = false;
+    /** Its caller was refused before and has returned when it was told to. */
+    bool isReturning = false;
 };
 
 /**
--- a/libs/dispatch/src/PromptPlacement.cpp
+++ b/libs/dispatch/src/PromptPlacement.cpp
@@ -104,6 +104,9 @@
     constexpr int ShortDivisor = 8;
     constexpr int MediumDivisor = 3;
     constexpr uint32_t SizeClassesPerRank = 3;
+    /** While shares divide the pool, the last class of each rank is that of prompts over their
+     * share, whatever their size. */
+    constexpr uint32_t OverShareClass = SizeClassesPerRank - 1;
     constexpr uint32_t LowestRank = LateUrgency / SizeClassesPerRank - 1;
     /** Weight of less urgent prompts: they hardly delay a prompt, but keep the engine busy after
      * it. */
@@ -132,6 +135,11 @@
             sizeClass = 0;
         else if (prefillTime <= goal.timeLeft / MediumDivisor)
             sizeClass = 1;
+        if (goal.isDividedByShares) {
+            sizeClass = goal.isReturning ? 0 : std::min(sizeClass, OverShareClass - 1);
+            if (goal.isOverShare)
+                sizeClass = OverShareClass;
+        }
         return static_cast<Urgency>(rank * SizeClassesPerRank + sizeClass);
     }
 
--- a/libs/dispatch/tests/PromptPlacementTests.cpp
+++ b/libs/dispatch/tests/PromptPlacementTests.cpp
@@ -316,3 +316,38 @@
         }
     }
 }
+
+// Guards against organisations over their shares that delay those below, or more urgent priorities.
+Test(prompt_placement, prompts_over_their_share_come_last_within_their_priority)
+{
+    Fleet fleet(1);
+    const auto urgencyOf = [&fleet](uint32_t priority, uint32_t tokens, bool isOver) {
+        PromptGoal goal { priority, Milliseconds(800), ZoneId() };
+        goal.isDividedByShares = true;
+        goal.isOverShare = isOver;
+        return fleet.place({ "m", tokens, 0, {} }, goal).urgency;
+    };
+    for (uint32_t priority = 0; priority < 3; ++priority) {
+        // Up to 15,000 tokens are prefilled within the objective.
+        for (const uint32_t tokens : { 100U, 4000U, 15000U }) {
+            cr_expect_gt(urgencyOf(priority, 100, true), urgencyOf(priority, tokens, false));
+            if (priority < 2)
+                cr_expect_lt(
+                    urgencyOf(priority, tokens, true), urgencyOf(priority + 1, 100, false));
+        }
+    }
+}
+
+// Guards against a change for deployments without organisations.
+Test(prompt_placement, urgency_is_as_before_where_shares_do_not_divide_the_pool)
+{
+    Fleet fleet(1);
+    const std::array<uint32_t, 3> tokens { 100, 4000, 15000 };
+    for (uint32_t priority = 0; priority < 3; ++priority) {
+        for (uint32_t sizeClass = 0; sizeClass < tokens.size(); ++sizeClass) {
+            const PromptGoal goal { priority, Milliseconds(800), ZoneId() };
+            const PromptPlacement placement = fleet.place({ "m", tokens[sizeClass], 0, {} }, goal);
+            cr_expect_eq(placement.urgency, priority * 3 + sizeClass);
+        }
+    }
+}
