Bytes held for callers who read slowly are bounded in all

Cause: a caller could make the gateway hold 4 MB, and as many callers as are connected could do so at once; a gateway has 120 MB at least. Change: while more than 256 KB of a stream are held for a caller, or 12 MB for all, its target's response is read no further. Above 24 MB in all, which only whole responses can reach, the slowest caller is disconnected.

--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -7,8 +7,9 @@
 namespace {
 
     constexpr size_t MaxPendingBytes = size_t { 64 } * 1024;
-    /** Bytes of a response that are held for a caller; streams of tokens have a few kilobytes. */
-    constexpr size_t MaxUnsentBytes = size_t { 4 } << 20;
+    /** Bytes of a stream that are held for a caller before the target's response is read on;
+     * streams of tokens have a few kilobytes. */
+    constexpr size_t MaxRelayedBytes = size_t { 256 } << 10;
 
     http1::MessageLimits messageLimits(const GatewayContext& context)
     {
@@ -37,10 +38,19 @@
         if (const std::shared_ptr<CallerConnection> self = weak.lock())
             self->onBytes(bytes);
     };
-    handlers.onEnd = [weak](channels::ConnectionEnd) {
+    const std::weak_ptr<channels::Connection> connection = m_connection;
+    const channels::Connection* key = m_connection.get();
+    handlers.onEnd = [weak, key, &context = m_context](channels::ConnectionEnd) {
+        context.callerBuffers.remove(key);
         if (const std::shared_ptr<CallerConnection> self = weak.lock())
             self->close();
     };
+    handlers.onWritten = [weak, connection, &context = m_context] {
+        if (const channels::ConnectionPointer open = connection.lock())
+            countUnsent(context, open, weak);
+        if (const std::shared_ptr<CallerConnection> self = weak.lock())
+            self->onWritten();
+    };
     m_connection->start(std::move(handlers));
     armTimer();
 }
@@ -122,6 +132,7 @@
     whole.add("Content-Length", std::to_string(body.size()));
     addConnectionField(whole);
     m_connection->write(http1::composeResponse(status, reason, whole).append(body));
+    updateBuffers();
     finishResponse();
 }
 
@@ -137,13 +148,37 @@
 void CallerConnection::writeBody(std::string_view bytes)
 {
     m_connection->write(http1::composeChunk(bytes));
-    if (m_connection->unsentBytes() <= MaxUnsentBytes)
-        return;
-    telemetry::logWarning("caller", "Closed the connection of a caller that reads too slowly.",
-        { { "unsent", std::to_string(m_connection->unsentBytes()) } });
-    telemetry::count("slow_callers_closed");
-    // The handler is on the call stack.
-    m_context.loop.post([self = shared_from_this()] { self->close(); });
+    updateBuffers();
+}
+
+bool CallerConnection::isFull() const
+{
+    const size_t unsent = m_connection->unsentBytes();
+    return unsent > MaxRelayedBytes || (unsent > 0 && m_context.callerBuffers.isFull());
+}
+
+void CallerConnection::onWritten()
+{
+    if (m_handler && !m_isClosed && !isFull())
+        m_handler->continueRelay();
+}
+
+void CallerConnection::countUnsent(GatewayContext& context,
+    const channels::ConnectionPointer& connection, const std::weak_ptr<CallerConnection>& caller)
+{
+    // The handler may be on the call stack.
+    const std::weak_ptr<channels::Connection> weakConnection = connection;
+    context.callerBuffers.update(
+        connection.get(), connection->unsentBytes(),
+        [caller, weakConnection, &loop = context.loop] {
+            loop.post([caller, weakConnection] {
+                if (const std::shared_ptr<CallerConnection> self = caller.lock())
+                    self->close();
+                if (const channels::ConnectionPointer connection = weakConnection.lock())
+                    connection->close();
+            });
+        },
+        steadyNow());
 }
 
 void CallerConnection::endBody()
@@ -223,6 +258,7 @@
     m_isClosed = true;
     m_timer.cancel();
     m_connection->close();
+    m_context.callerBuffers.remove(m_connection.get());
     if (m_handler) {
         m_handler->callerLeft();
         // The handler may still be on the call stack, so the event loop releases it later.
--- a/apps/gateway/CallerConnection.h
+++ b/apps/gateway/CallerConnection.h
@@ -25,6 +25,7 @@
     void beginBody(
         uint32_t status, std::string_view reason, const http1::Headers& headers) override;
     void writeBody(std::string_view bytes) override;
+    bool isFull() const override;
     void endBody() override;
     void abort() override;
 
@@ -34,6 +35,12 @@
     void onEvent(http1::RequestEvent& event);
     void startHandler();
     void finishResponse();
+    void onWritten();
+    /** Counts the bytes that are held for this caller. */
+    void updateBuffers() { countUnsent(m_context, m_connection, weak_from_this()); }
+    /** Static, because the end of a response may be sent after its caller's object is gone. */
+    static void countUnsent(GatewayContext& context, const channels::ConnectionPointer& connection,
+        const std::weak_ptr<CallerConnection>& caller);
     void reject(http1::ParseFault fault);
     void armTimer();
     void onTimeout();
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallerBuffers.h"
 #include "CrashQuarantine.h"
 #include "PartQuarantine.h"
 #include "PoolShares.h"
@@ -35,6 +36,7 @@
     conditions::RequestedPauses requestedPauses;
     conditions::RequestPacer pacer;
     dispatch::RetryBudget retryBudget;
+    CallerBuffers callerBuffers;
     /** Shares of organisations; empty where the declaration has none. */
     std::map<PoolId, PoolShares> poolShares;
     /** Requests that may crash the targets that run them. */
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -23,6 +23,8 @@
     virtual void beginBody(uint32_t status, std::string_view reason, const http1::Headers& headers)
         = 0;
     virtual void writeBody(std::string_view bytes) = 0;
+    /** @return whether the caller reads so slowly that no more should be written now. */
+    virtual bool isFull() const { return false; }
     virtual void endBody() = 0;
     /** Breaks the response off so that it cannot look complete. */
     virtual void abort() = 0;
@@ -43,6 +45,8 @@
     void start();
     /** The caller has closed its connection. */
     void callerLeft();
+    /** The writer is no longer full. */
+    void continueRelay();
 
 private:
     /** What an attempt asks of its target: a whole run, a prefill or a decode. */
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -161,6 +161,14 @@
     }
     if (!whole.empty())
         m_writer->writeBody(whole);
+    if (m_writer->isFull())
+        m_attempt->exchange->setReading(false);
+}
+
+void RequestHandler::continueRelay()
+{
+    if (!m_isOver && m_attempt && m_attempt->isRelayed && m_attempt->exchange)
+        m_attempt->exchange->setReading(true);
 }
 
 void RequestHandler::onEnd(channels::ExchangeEnd end)
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -120,6 +120,8 @@
     void send(std::string_view bytes);
     /** Reads one response, or up to the end of the connection. */
     CallerResponse receive();
+    /** Reads up to the end of the connection; for large responses, which are parsed once. */
+    CallerResponse receiveToEnd();
     /** Reads until the bytes so far end with @p end. @return the bytes. */
     std::string receiveUntil(std::string_view end);
     void close();
--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -73,6 +73,8 @@
         std::function<void()> onConnected;
         std::function<void(std::string_view)> onBytes;
         std::function<void(ConnectionEnd)> onEnd;
+        /** Bytes were handed to the operating system. */
+        std::function<void()> onWritten;
     };
 
     virtual ~Connection() = default;
@@ -81,6 +83,8 @@
     virtual void write(std::string bytes) = 0;
     /** @return number of bytes not yet handed to the operating system. */
     virtual size_t unsentBytes() const = 0;
+    /** While nothing is read, the peer can send only as much as the operating system holds. */
+    virtual void setReading(bool isReading) = 0;
     /** Sends the unsent bytes, then closes. */
     virtual void closeAfterWrites() = 0;
     /**
@@ -139,6 +143,8 @@
     };
     virtual ~Exchange() = default;
     virtual void cancel() = 0;
+    /** Stops or continues to read the response. */
+    virtual void setReading(bool isReading) = 0;
     /** @return whether request bytes may have reached the target. */
     virtual bool isSent() const noexcept = 0;
 };
--- a/libs/channels/src/Connection.cpp
+++ b/libs/channels/src/Connection.cpp
@@ -64,8 +64,7 @@
         void start(Handlers handlers) override
         {
             m_handlers = std::make_shared<Handlers>(std::move(handlers));
-            if (!m_isConnecting && !m_isReading && !m_isClosed)
-                read();
+            continueReading();
         }
 
         void write(std::string bytes) override
@@ -80,6 +79,12 @@
 
         size_t unsentBytes() const override { return m_unsentSize; }
 
+        void setReading(bool isReading) override
+        {
+            m_isPaused = !isReading;
+            continueReading();
+        }
+
         void closeAfterWrites() override
         {
             m_closesAfterWrites = true;
@@ -132,7 +137,13 @@
                 return;
             if (!m_queuedBytes.empty() && m_writeBuffer.empty())
                 writeQueued();
-            if (!m_isReading)
+            continueReading();
+        }
+
+        void continueReading()
+        {
+            // While bytes are being delivered, the input buffer is in use; onRead continues.
+            if (!m_isConnecting && !m_isReading && !m_isClosed && !m_isPaused && !m_isDelivering)
                 read();
         }
 
@@ -155,10 +166,11 @@
                 return;
             }
             const std::shared_ptr<Handlers> handlers = m_handlers;
+            m_isDelivering = true;
             if (handlers->onBytes)
                 handlers->onBytes(std::string_view(m_input.data(), size));
-            if (!m_isClosed && !m_isReading)
-                read();
+            m_isDelivering = false;
+            continueReading();
         }
 
         void writeQueued()
@@ -183,6 +195,9 @@
                 writeQueued();
             else if (m_closesAfterWrites)
                 shutDownWriting();
+            const std::shared_ptr<Handlers> handlers = m_handlers;
+            if (handlers->onWritten)
+                handlers->onWritten();
         }
 
         // Closing with unread input would send a reset, which can discard a response in transit.
@@ -222,6 +237,8 @@
         size_t m_unsentSize = 0;
         bool m_isConnecting = false;
         bool m_isReading = false;
+        bool m_isPaused = false;
+        bool m_isDelivering = false;
         bool m_isClosed = false;
         bool m_closesAfterWrites = false;
         /** The sending side was shut down after the last byte; close must not reset it. */
--- a/libs/channels/src/ConnectionPool.cpp
+++ b/libs/channels/src/ConnectionPool.cpp
@@ -104,6 +104,12 @@
                 std::exchange(m_pooled, nullptr)->connection->close();
         }
 
+        void setReading(bool isReading) override
+        {
+            if (m_pooled)
+                m_pooled->connection->setReading(isReading);
+        }
+
         bool isSent() const noexcept override { return m_isConnected; }
 
     private:
@@ -198,6 +204,7 @@
                         KeepAliveTimeoutShare * static_cast<double>(m_keepAliveTimeout->count())));
                     m_pooled->idleLifetime = std::min(m_pooled->idleLifetime, safeLifetime);
                 }
+                m_pooled->connection->setReading(true);
                 m_pool->addIdle(m_peer, std::exchange(m_pooled, nullptr));
             }
             finish(ExchangeEnd::Complete);
