--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -218,6 +218,7 @@
     noteStatedLimits();
     dropMissingPeers(steadyNow());
     resendDepartures(steadyNow());
+    sendUseReports(steadyNow());
     for (const TargetId& target : m_context.statedLimits.expire(steadyNow()))
         m_context.noteLimitChanged(target, "expiry");
     m_context.pacer.expire(steadyNow());
@@ -361,6 +362,7 @@
     void operator()(const streams::OriginReply& reply) const { streams.onReply(reply); }
     void operator()(const duties::CountsMessage& sent) const { group.m_context.onCounts(sent); }
     void operator()(const duties::DutyStatus& sent) const { group.m_context.onDutyStatus(sent); }
+    void operator()(const shares::UseReport& report) const { group.onUseReport(report); }
 };
 
 void PeerGroup::onDatagram(std::string_view datagram)
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -23,6 +23,8 @@
     virtual void beginBody(uint32_t status, std::string_view reason, const http1::Headers& headers)
         = 0;
     virtual void writeBody(std::string_view bytes) = 0;
+    /** @return whether the caller reads so slowly that no more should be written now. */
+    virtual bool isFull() const { return false; }
     virtual void endBody() = 0;
     /** Breaks the response off so that it cannot look complete. */
     virtual void abort() = 0;
@@ -43,6 +45,8 @@
     void start();
     /** The caller has closed its connection. */
     void callerLeft();
+    /** The writer is no longer full. */
+    void continueRelay();
 
 private:
     /** What an attempt asks of its target: a whole run, a prefill or a decode. */
@@ -78,6 +82,9 @@
         bool hasAnswerBegun = false;
         /** Its body is streamed to the caller as it arrives. */
         bool isRelayed = false;
+        /** Expected engine time and wait of a prefill, in deployments with organisations. */
+        shares::EngineMilliseconds engineTime = 0;
+        Milliseconds expectedWait { 0 };
     };
 
     /** A prompt whose KV cache a prefill engine holds for a decode engine. */
@@ -163,6 +170,21 @@
     bool isTurnValid(const Turn& turn, const fleet::TargetRecord& target) const;
     void cancelTurn(std::optional<Turn>& turn);
 
+    /** @return the shares of the pool; null where the declaration has no organisations. */
+    PoolShares* poolShares();
+    dispatch::PromptGoal promptGoal();
+    // Each returns whether the request was refused, because it can no longer be served within its
+    // caller's time limit.
+    bool refuseUnmeetablePrompt(const dispatch::PromptPlacement& placement);
+    bool refuseUnmeetableRun(const dispatch::TargetState& target);
+    bool refuseUnmeetable(PoolShares& shares, Milliseconds wait, Milliseconds duration);
+    /** Adds the engine time of a prompt that was sent to its organisation's use. */
+    void notePromptSent(const dispatch::PromptPlacement& placement);
+    /** The current attempt is over; does nothing unless it is a prefill. */
+    void notePrefillEnded(bool hasRun);
+    /** Adds the engine time of a run or a decode to its organisation's use. */
+    void noteRunFinished();
+
     bool isOwnResponse(const http1::ResponseHead& head) const;
     /** Counts a stream that goes on at the current attempt's target. */
     void countResume() const;
@@ -246,6 +268,8 @@
     /** A declaration in force since the request arrived has organisations, so targets get the
      * organisation in place of the key. */
     bool m_hidesKey = false;
+    /** As of the last placement of its prompt. */
+    bool m_isOverShare = false;
     SteadyTime m_deadline;
     channels::Timer m_deadlineTimer;
     std::unique_ptr<Attempt> m_attempt;
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -171,6 +171,14 @@
     }
     if (!whole.empty())
         m_writer->writeBody(whole);
+    if (m_writer->isFull())
+        m_attempt->exchange->setReading(false);
+}
+
+void RequestHandler::continueRelay()
+{
+    if (!m_isOver && m_attempt && m_attempt->isRelayed && m_attempt->exchange)
+        m_attempt->exchange->setReading(true);
 }
 
 void RequestHandler::onEnd(channels::ExchangeEnd end)
@@ -220,6 +228,7 @@
 
 void RequestHandler::afterAttempt(Outcome outcome)
 {
+    notePrefillEnded(outcome != Outcome::NotExecuted && outcome != Outcome::NotSent);
     switch (outcome) {
     case Outcome::Served:
         endAttempt(dispatch::AttemptResult::Served);
@@ -290,6 +299,7 @@
     switch (outcome) {
     case Outcome::Served:
         noteDecodeFinished();
+        noteRunFinished();
         m_prefilledPrompt.reset();
         finishServed();
         return;
--- a/libs/peers/include/peers/Peers.h
+++ b/libs/peers/include/peers/Peers.h
@@ -5,6 +5,7 @@
 #include "duties/Duties.h"
 #include "quarantine/Quarantine.h"
 #include "roles/Roles.h"
+#include "shares/Shares.h"
 #include "streams/Streams.h"
 
 #include <variant>
@@ -13,8 +14,8 @@
  * Datagrams between the processes of the system. Gateways exchange updates: work in flight, cached
  * prompt parts, crash reports, lost, replaced and leaving targets, request limits that targets
  * state, roles and the demand for them. They request role changes from sidecars, which report roles
- * in updates of their own. The origins of streams are sent to single gateways and sidecars, in
- * messages of their own.
+ * in updates of their own. The origins of streams are sent to single gateways and sidecars, reports
+ * of duties and of the engine time of organisations to single gateways, in messages of their own.
  */
 namespace citronspoke::peers {
 
@@ -87,7 +88,7 @@
 
 /** What a gateway may receive from another process. */
 using Message = std::variant<Update, streams::OriginNote, streams::OriginQuery,
-    streams::OriginReply, duties::CountsMessage, duties::DutyStatus>;
+    streams::OriginReply, duties::CountsMessage, duties::DutyStatus, shares::UseReport>;
 /** @throws UpdateUnreadable when the datagram is not an encoded message. */
 Message decodeMessage(std::string_view datagram);
 
@@ -111,6 +112,7 @@
 using SidecarMessage = std::variant<roles::RoleRequest, OriginBatch, streams::OriginQuery>;
 /** @throws UpdateUnreadable when the datagram is not an encoded message. */
 SidecarMessage decodeSidecarMessage(std::string_view datagram);
+std::string encode(const shares::UseReport& report);
 
 /** @return the request as a MessagePack array. */
 std::string encode(const roles::RoleRequest& request);
--- a/libs/peers/src/OriginCodec.cpp
+++ b/libs/peers/src/OriginCodec.cpp
@@ -1,5 +1,6 @@
 #include "DutyCodec.h"
 #include "OriginKind.h"
+#include "UseCodec.h"
 
 namespace citronspoke::peers {
 
@@ -80,6 +81,8 @@
 
 Message decodeMessage(std::string_view datagram)
 {
+    if (isUseReport(datagram))
+        return decodeUseReport(datagram);
     if (!isOriginMessage(datagram))
         return decode(datagram);
     try {
