--- a/libs/model/include/model/Model.h
+++ b/libs/model/include/model/Model.h
@@ -133,6 +133,8 @@
 
 /** 64-bit FNV-1a hash: the same in every process and build, so that processes can agree on it. */
 uint64_t stableHash(std::string_view text) noexcept;
+/** @return the hash of a text that follows after another one, which has the hash @p before. */
+uint64_t stableHash(std::string_view text, uint64_t before) noexcept;
 
 /**
  * @return the rank of a candidate for a key, as rendezvous hashing compares them; unlike the plain
--- a/libs/model/src/Model.cpp
+++ b/libs/model/src/Model.cpp
@@ -87,8 +87,13 @@
 uint64_t stableHash(std::string_view text) noexcept
 {
     constexpr uint64_t OffsetBasis = 14695981039346656037ULL;
+    return stableHash(text, OffsetBasis);
+}
+
+uint64_t stableHash(std::string_view text, uint64_t before) noexcept
+{
     constexpr uint64_t Prime = 1099511628211ULL;
-    uint64_t hash = OffsetBasis;
+    uint64_t hash = before;
     for (const char character : text) {
         hash ^= static_cast<uint8_t>(character);
         hash *= Prime;
