libs/dispatch: even load from stale reports, when the caller passes it

Cause: placePrompt, chooseDecodeEngine and chooseTarget take the best engine by the last reports, and one prefill speed for a pool. Change: with EvenLoad they choose by libs/balance, with costs in time and the measured speed of each incarnation; without it the choice is as before. TargetDirectory knows the age of peers' reports from lost updates. RetryBudget and PrefixCacheIndex have headers of their own. Work per candidate is less: no copies of loads, no id lookups for engines without the part, lists of a pool's targets are kept.

--- a/bench/decision-bench/main.cpp
+++ b/bench/decision-bench/main.cpp
@@ -62,6 +62,24 @@
     }
 }
 
+void placePromptEvenlyAmong(benchmark::State& state)
+{
+    GatewayView view(state.range(0));
+    const fleet::Prompt prompt = makePrompt("shared-7");
+    const PromptGoal goal { 1, Milliseconds(600), ZoneId("zone-1") };
+    EvenLoad even;
+    even.gateway = 7;
+    even.gateways = 30;
+    even.reportAgeMs = 50;
+    even.draw = 0.4;
+    even.own.note(20, Now);
+    for (auto _ : state) {
+        const std::vector<TargetState*> engines = view.directory.usable(Pool, Now);
+        benchmark::DoNotOptimize(placePrompt(
+            engines, engines, prompt, goal, view.cacheIndex, view.prefillSpeed, {}, Now, &even));
+    }
+}
+
 void chooseMakerAmong(benchmark::State& state)
 {
     GatewayView view(state.range(0));
@@ -111,6 +129,7 @@
 } // namespace
 
 BENCHMARK(placePromptAmong)->Arg(12)->Arg(44)->Arg(210)->Arg(840);
+BENCHMARK(placePromptEvenlyAmong)->Arg(12)->Arg(44)->Arg(210)->Arg(840);
 BENCHMARK(chooseMakerAmong)->Arg(2)->Arg(12)->Arg(140);
 BENCHMARK(chooseTargetAmong)->Arg(3)->Arg(44)->Arg(840);
 BENCHMARK(spendRetry);
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -1,14 +1,15 @@
 #pragma once
 
+#include "balance/Balance.h"
+#include "dispatch/PrefixCacheIndex.h"
+#include "dispatch/ReportAges.h"
+#include "dispatch/RetryBudget.h"
 #include "fleet/Fleet.h"
 
 #include <array>
-#include <deque>
-#include <list>
 #include <map>
 #include <set>
 #include <span>
-#include <unordered_map>
 
 /**
  * Decides where requests go on the users' platform: routes, targets, prompt placement and retries.
@@ -113,6 +114,10 @@
     SteadyTime excludedUntil {};
     /** Set when the record is missing from the store but may be registered again until then. */
     std::optional<SteadyTime> mayReturnUntil;
+    /** Hash of the target's id. */
+    uint64_t idHash = 0;
+    /** Measured by this process. */
+    balance::EngineSpeeds speeds;
 
     /** @return the load from all entries, as far as it is known. */
     Load load() const;
@@ -163,6 +168,9 @@
     std::vector<fleet::Incarnation> departures() const;
     /** Stores the load that a peer reports for its own requests at a target. */
     void notePeerLoad(const TargetId& id, const EntryId& peer, const Load& load, SteadyTime now);
+    /** An update of a peer was received, whose loads are stored by notePeerLoad(). */
+    void notePeerUpdate(const EntryId& peer, uint64_t sequenceNumber, SteadyTime now);
+    const ReportAges& reportAges() const noexcept { return m_reportAges; }
 
     /** @return the targets of a pool that may get new requests, in the order of their ids. */
     std::vector<TargetState*> usable(const PoolId& pool, SteadyTime now);
@@ -213,6 +221,7 @@
     /** @return whether a record is older than what is known of its target. */
     bool isOutdated(const fleet::TargetRecord& record) const;
     void drop(std::map<TargetId, TargetState>::iterator target, SteadyTime now);
+    void dropMissing(SteadyTime now);
     void acceptUnconfirmed(SteadyTime now);
     void dropOldRemovals(SteadyTime now);
     void excludeReplacedTargets(const TargetState& registered);
@@ -224,6 +233,27 @@
     std::map<TargetId, UnconfirmedRecord> m_unconfirmed;
     std::map<TargetId, RemovedRecord> m_removed;
     SteadyTime m_staleLoadsCheckedAt {};
+    ReportAges m_reportAges;
+    /** The targets of each pool in the order of their ids; built on demand. */
+    std::map<PoolId, std::vector<TargetState*>> m_poolMembers;
+    /** When the first missing target is dropped. */
+    SteadyTime m_nextReturnEnd = SteadyTime::max();
+};
+
+/** What the choice of a target considers of other gateways, whose latest requests it cannot know.
+ */
+struct EvenLoad {
+    /** Position of this gateway among all gateways; they all know the same order. */
+    uint32_t gateway = 0;
+    uint32_t gateways = 0;
+    /** Mean over the other gateways. */
+    double reportAgeMs = 0;
+    /** Mean time from one token to the next at the pool's engines; 0 while unknown. */
+    double decodeStepMs = 0;
+    /** Random, uniform in [0, 1). */
+    double draw = 0;
+    /** The requests of this gateway, in the unit of the choice's costs. */
+    balance::ArrivalMeter own;
 };
 
 /**
@@ -231,68 +261,12 @@
  * equals one in the own zone. Targets that are to be avoided after recent failures come last.
  * @param excluded targets that must not get the request again.
  * @param draw random, uniform in [0, 1); decides among equals.
+ * @param even set to spread requests evenly although reports are old; costs are in requests.
  * @return null when there is none.
  */
 TargetState* chooseTarget(std::span<TargetState* const> candidates,
-    const std::set<TargetId>& excluded, const ZoneId& ownZone, double draw, SteadyTime now);
-
-/**
- * Prefix cache index: which engines have which prompt parts cached, estimated from the prompts that
- * the entries have sent to them.
- */
-class PrefixCacheIndex {
-public:
-    /** How much of a prompt an engine has cached, in tokens from the prompt's start. */
-    struct CachedPrefix {
-        /** Prefilled already, so that other engines can fetch it. */
-        uint64_t readyTokens = 0;
-        /** Prefilled, or to be prefilled for an earlier request. */
-        uint64_t expectedTokens = 0;
-    };
-
-    /**
-     * A prompt was sent to an engine, which will have its parts cached once it has prefilled them.
-     * @param capacityTokens size of the engine's cache; least recently used parts are evicted.
-     */
-    void noteSent(
-        const TargetId& engine, uint64_t capacityTokens, std::span<const fleet::PromptPart> parts);
-    /** An engine has prefilled or fetched the parts of a prompt. */
-    void notePrefilled(
-        const TargetId& engine, uint64_t capacityTokens, std::span<const fleet::PromptPart> parts);
-    /** The engine did not prefill a prompt that was sent; drops its parts that are not ready. */
-    void noteNotPrefilled(const TargetId& engine, std::span<const fleet::PromptPart> parts);
-    /** The engine is gone or has restarted, so its cache is empty. */
-    void removeEngine(const TargetId& engine);
-    /** @return how much of a prompt one engine has cached. */
-    CachedPrefix cachedPrefix(
-        const TargetId& engine, std::span<const fleet::PromptPart> parts) const;
-    /** Cached prefixes of a prompt by engine id; only engines that have its first part. */
-    using CachedPrefixes = std::unordered_map<std::string_view, CachedPrefix>;
-    /** @return valid until the index changes, because the ids are not copied. */
-    CachedPrefixes cachedPrefixes(std::span<const fleet::PromptPart> parts) const;
-
-private:
-    struct Part {
-        std::string id;
-        uint32_t tokens = 0;
-        bool isReady = false;
-    };
-    struct EngineCache {
-        /** Least recently used first. */
-        std::list<Part> parts;
-        std::unordered_map<std::string, std::list<Part>::iterator> byId;
-        uint64_t tokens = 0;
-    };
-    void insertParts(const TargetId& engine, uint64_t capacityTokens,
-        std::span<const fleet::PromptPart> parts, bool isReady);
-    static CachedPrefix cachedPrefixIn(
-        const EngineCache& cache, std::span<const fleet::PromptPart> parts);
-    void removeEngineOfPart(const std::string& part, const std::string& engine);
-
-    std::unordered_map<std::string, EngineCache> m_engines;
-    /** Engine ids by part id. */
-    std::unordered_map<std::string, std::set<std::string>> m_enginesByPart;
-};
+    const std::set<TargetId>& excluded, const ZoneId& ownZone, double draw, SteadyTime now,
+    const EvenLoad* even = nullptr);
 
 /** Where a prompt is prefilled. */
 struct PromptPlacement {
@@ -305,6 +279,8 @@
     /** Tokens of other prompts that it prefills before. */
     uint64_t tokensAhead = 0;
     Urgency urgency = 0;
+    /** Expected time from sending the prompt to the end of its prefill; zero while unknown. */
+    Milliseconds expected { 0 };
 };
 
 /** Estimates the prefill throughput of the engines of a pool from measured prompts. */
@@ -319,6 +295,10 @@
     void notePrefilled(uint64_t tokens, uint64_t tokensAhead, Milliseconds took);
     /** @return the time to prefill so many tokens; zero until the first measurement. */
     Milliseconds estimate(uint64_t tokens) const;
+    /** @return 0 until the first measurement. */
+    double tokensPerMs() const noexcept { return m_tokensPerMs; }
+    /** @return the tokens in each millisecond that a prompt shows; none when it is ignored. */
+    static std::optional<double> measured(uint64_t tokens, uint64_t tokensAhead, Milliseconds took);
 
 private:
     double m_tokensPerMs = 0;
@@ -346,11 +326,16 @@
  * @param candidates engines that may get the prompt.
  * @param cachingEngines engines that others may fetch parts from; also those that are leaving.
  * @param excluded engines that must not get the prompt again.
+ * @param even set to spread prompts evenly although reports are old, and to consider the speeds of
+ *        single engines; costs are in milliseconds of an engine of mean speed.
  */
 PromptPlacement placePrompt(std::span<TargetState* const> candidates,
     std::span<TargetState* const> cachingEngines, const fleet::Prompt& prompt,
     const PromptGoal& goal, const PrefixCacheIndex& cacheIndex, const PrefillSpeed& speed,
-    const std::set<TargetId>& excluded, SteadyTime now);
+    const std::set<TargetId>& excluded, SteadyTime now, const EvenLoad* even = nullptr);
+
+/** @return the work of a prompt that is prefilled, in the unit of that choice. */
+double prefillWork(uint64_t tokens, const PrefillSpeed& speed);
 
 /** What a request demands of its decode engine. */
 struct DecodeGoal {
@@ -367,56 +352,13 @@
  * as more work, and for a stream that may be resumed an engine that is the only one of its software
  * version. Engines that are to be avoided after recent failures come last.
  * @param excluded engines that must not get the request again.
+ * @param even set to spread requests evenly although reports are old; costs are in tokens.
  * @return null when there is none.
  */
 TargetState* chooseDecodeEngine(std::span<TargetState* const> decodeEngines,
-    const std::set<TargetId>& excluded, const DecodeGoal& goal, SteadyTime now);
-
-/**
- * Retry budget: this entry's part of the retries that all entries together may make. It is a share
- * of the entry's own requests plus an even part of a fixed number of retries, within a sliding
- * window, for each pool.
- */
-class RetryBudget {
-public:
-    struct Limits {
-        /** Retries for each request. */
-        double share = 0;
-        /** Retries of all entries together in a window, regardless of requests. */
-        double fixedPart = 0;
-        Milliseconds window { 10000 };
-    };
-
-    /**
-     * @param start of this process. The fixed part grows to its full size over the first window,
-     *        because a previous process may just have spent it.
-     */
-    RetryBudget(const Limits& limits, SteadyTime start);
-    /** @param entries number of running entries; there is no fixed part while it is 0. */
-    void updateEntries(uint32_t entries);
-    void updateLimits(const Limits& limits);
-    /** Counts a request, which adds to the budget of its pool. */
-    void noteRequest(const PoolId& pool, SteadyTime now);
-    /**
-     * Takes all sends of a retry from the budget of a pool, or none.
-     * @param sends requests to targets that the retry makes.
-     * @return false when the budget does not cover them; the retry must not be made.
-     */
-    bool trySpend(const PoolId& pool, uint32_t sends, SteadyTime now);
-
-private:
-    struct History {
-        std::deque<SteadyTime> requests;
-        std::deque<SteadyTime> retries;
-    };
-    void dropExpired(History& history, SteadyTime now) const;
-
-    double allowedRetries(const History& history, SteadyTime now) const;
-
-    Limits m_limits;
-    SteadyTime m_start;
-    uint32_t m_entries = 0;
-    std::map<PoolId, History> m_pools;
-};
+    const std::set<TargetId>& excluded, const DecodeGoal& goal, SteadyTime now,
+    const EvenLoad* even = nullptr);
+/** @return the work that a request adds to its decode engine, in the unit of that choice. */
+double decodeWork(uint64_t cacheTokens);
 
 } // namespace citronspoke::dispatch
--- a/libs/dispatch/src/PromptPlacement.cpp
+++ b/libs/dispatch/src/PromptPlacement.cpp
@@ -1,6 +1,7 @@
-#include "dispatch/Dispatch.h"
+#include "BalancedChoice.h"
 
 #include <algorithm>
+#include <bitset>
 
 namespace citronspoke::dispatch {
 
@@ -27,19 +28,15 @@
         return tokens;
     }
 
-    uint64_t homeRank(std::string_view key, const TargetId& engine)
-    {
-        return stableHash(std::string(key).append("/").append(engine.text()));
-    }
-
     TargetState* homeEngine(
         std::span<TargetState* const> candidates, std::string_view key, SteadyTime now)
     {
         TargetState* home = nullptr;
         std::pair<bool, uint64_t> best;
+        const uint64_t keyHash = stableHash("/", stableHash(key));
         for (TargetState* candidate : candidates) {
             const std::pair<bool, uint64_t> rank(
-                !candidate->isAvoided(now), homeRank(key, candidate->record.id));
+                !candidate->isAvoided(now), stableHash(candidate->record.id.text(), keyHash));
             if (!home || rank > best) {
                 home = candidate;
                 best = rank;
@@ -54,22 +51,36 @@
         uint64_t tokens = 0;
     };
 
-    PrefixCacheIndex::CachedPrefix cachedPrefixOf(
-        const PrefixCacheIndex::CachedPrefixes& cachedPrefixes, const TargetState& engine)
-    {
-        const auto found = cachedPrefixes.find(engine.record.id.text());
-        return found == cachedPrefixes.end() ? PrefixCacheIndex::CachedPrefix {} : found->second;
-    }
+    /** Finds what engines have cached; most have nothing, and a bit for each hash shows that. */
+    class PrefixLookup {
+    public:
+        explicit PrefixLookup(const PrefixCacheIndex::CachedPrefixes& prefixes)
+            : m_prefixes(prefixes)
+        {
+            for (const auto& [engine, prefix] : prefixes)
+                m_bits.set(stableHash(engine) % Bits);
+        }
+        PrefixCacheIndex::CachedPrefix of(const TargetState& engine) const
+        {
+            if (!m_bits.test(engine.idHash % Bits))
+                return {};
+            const auto found = m_prefixes.find(engine.record.id.text());
+            return found == m_prefixes.end() ? PrefixCacheIndex::CachedPrefix {} : found->second;
+        }
+
+    private:
+        static constexpr size_t Bits = 4096;
+        const PrefixCacheIndex::CachedPrefixes& m_prefixes;
+        std::bitset<Bits> m_bits;
+    };
 
-    Source bestSource(std::span<TargetState* const> cachingEngines,
-        const PrefixCacheIndex::CachedPrefixes& cachedPrefixes, SteadyTime now)
+    Source bestSource(
+        std::span<TargetState* const> cachingEngines, const PrefixLookup& prefixes, SteadyTime now)
     {
         Source best;
         for (const TargetState* cachingEngine : cachingEngines) {
-            if (cachingEngine->isAvoided(now))
-                continue;
-            const uint64_t ready = cachedPrefixOf(cachedPrefixes, *cachingEngine).readyTokens;
-            if (ready > best.tokens)
+            const uint64_t ready = prefixes.of(*cachingEngine).readyTokens;
+            if (ready > best.tokens && !cachingEngine->isAvoided(now))
                 best = { cachingEngine, ready };
         }
         return best;
@@ -77,17 +88,24 @@
 
 } // namespace
 
-void PrefillSpeed::notePrefilled(uint64_t tokens, uint64_t tokensAhead, Milliseconds took)
+std::optional<double> PrefillSpeed::measured(
+    uint64_t tokens, uint64_t tokensAhead, Milliseconds took)
 {
     // Short prompts measure the fixed cost of a step, and long queues the work for other prompts.
     constexpr uint64_t MinSampleTokens = 500;
-    constexpr double SampleWeight = 0.1;
     if (tokens < MinSampleTokens || tokensAhead > tokens || took <= Milliseconds(0))
+        return std::nullopt;
+    return static_cast<double>(tokens + tokensAhead) / static_cast<double>(took.count());
+}
+
+void PrefillSpeed::notePrefilled(uint64_t tokens, uint64_t tokensAhead, Milliseconds took)
+{
+    constexpr double SampleWeight = 0.1;
+    const std::optional<double> sample = measured(tokens, tokensAhead, took);
+    if (!sample)
         return;
-    const double sample
-        = static_cast<double>(tokens + tokensAhead) / static_cast<double>(took.count());
     m_tokensPerMs
-        = m_tokensPerMs == 0 ? sample : m_tokensPerMs + SampleWeight * (sample - m_tokensPerMs);
+        = m_tokensPerMs == 0 ? *sample : m_tokensPerMs + SampleWeight * (*sample - m_tokensPerMs);
 }
 
 Milliseconds PrefillSpeed::estimate(uint64_t tokens) const
@@ -115,14 +133,8 @@
      * milliseconds of prefill, expressed in prompt tokens. */
     constexpr double NewConnectionCostTokens = 400;
     constexpr double OtherZoneCostTokens = 200;
-    /** An engine's transfers run one after another; the fixed part of each takes as long as the
-     * transfer of so many tokens. */
-    constexpr uint64_t TransferSetupTokens = 12500;
-    /** A transfer between zones takes twice as long, which also delays those behind it. */
-    constexpr uint64_t OtherZoneTransfers = 2;
-    /** A stream whose engine is lost ends when no other one has its version: other engines get it
-     * until they have about so many requests more. */
-    constexpr uint64_t OnlyOfVersionRequests = 16;
+    /** Converts tokens to time until the first measurement; the choice hardly depends on it. */
+    constexpr double AssumedTokensPerMs = 20;
 
     Urgency urgencyOf(const PromptGoal& goal, Milliseconds prefillTime)
     {
@@ -135,102 +147,156 @@
         return static_cast<Urgency>(rank * SizeClassesPerRank + sizeClass);
     }
 
+    /** What one engine would do for a prompt. */
+    struct Option {
+        PromptPlacement placement;
+        /** Tokens to prefill before and for the prompt, with those of less urgent prompts. */
+        double tokens = 0;
+        /** Other costs, in tokens. */
+        double extraTokens = 0;
+    };
+
+    /** What does not differ between the candidates of one placement. */
+    struct PlacementInput {
+        const fleet::Prompt& prompt;
+        const PromptGoal& goal;
+        const PrefillSpeed& speed;
+        const PrefixLookup& prefixes;
+        const Source& source;
+        const TargetState* home = nullptr;
+        uint64_t sharedTokens = 0;
+    };
+
+    /** @param relativeSpeed of the candidate. */
+    Option optionAt(TargetState& candidate, const PlacementInput& input, double relativeSpeed)
+    {
+        const uint64_t tokens = input.prompt.tokens;
+        const uint64_t cached
+            = std::min<uint64_t>(tokens, input.prefixes.of(candidate).expectedTokens);
+        const bool fetches = input.source.engine && input.source.engine != &candidate
+            && input.source.tokens > cached;
+        const uint64_t start = fetches ? std::min<uint64_t>(tokens, input.source.tokens) : cached;
+        const uint64_t toPrefill = tokens - start;
+        const Milliseconds estimate = input.speed.estimate(toPrefill);
+        const Urgency urgency = urgencyOf(input.goal,
+            relativeSpeed == 1 ? estimate
+                               : Milliseconds(static_cast<int64_t>(
+                                   static_cast<double>(estimate.count()) / relativeSpeed)));
+        const uint64_t ahead
+            = candidate.ownLoad.tokensAhead(urgency) + candidate.peerLoadSum.tokensAhead(urgency);
+        const uint64_t all
+            = candidate.ownLoad.tokensToPrefill() + candidate.peerLoadSum.tokensToPrefill();
+        Option option;
+        option.placement
+            = { &candidate, fetches ? input.source.engine : nullptr, toPrefill, ahead, urgency };
+        option.tokens = static_cast<double>(ahead + toPrefill)
+            + LessUrgentWeight * static_cast<double>(all - ahead);
+        option.extraTokens = FetchCostRatio * static_cast<double>(start - std::min(start, cached));
+        // Away from their home engine, shared parts would be prefilled more than once.
+        if (input.home && &candidate != input.home && cached < input.sharedTokens)
+            option.extraTokens
+                += static_cast<double>(input.sharedTokens - std::min(input.sharedTokens, start));
+        option.extraTokens += candidate.isConnected ? 0 : NewConnectionCostTokens;
+        option.extraTokens += candidate.record.zone == input.goal.zone ? 0 : OtherZoneCostTokens;
+        return option;
+    }
+
+    PromptPlacement placeAtBest(std::span<TargetState* const> candidates,
+        const PlacementInput& input, const std::set<TargetId>& excluded, SteadyTime now)
+    {
+        PromptPlacement best;
+        std::tuple<bool, double> bestRank;
+        for (TargetState* candidate : candidates) {
+            if (excluded.contains(candidate->record.id))
+                continue;
+            const Option option = optionAt(*candidate, input, 1);
+            const std::tuple<bool, double> rank(
+                candidate->isAvoided(now), option.tokens + option.extraTokens);
+            if (best.engine && rank >= bestRank)
+                continue;
+            bestRank = rank;
+            best = option.placement;
+        }
+        return best;
+    }
+
+    double relativeSpeedOf(const TargetState& engine, double meanTokensPerMs)
+    {
+        // Wrong measurements must neither attract all prompts nor exclude an engine.
+        constexpr double Slowest = 0.2;
+        constexpr double Fastest = 4;
+        const double estimate = engine.speeds.prefill.estimate(meanTokensPerMs);
+        return meanTokensPerMs > 0 ? std::clamp(estimate / meanTokensPerMs, Slowest, Fastest) : 1;
+    }
+
+    PromptPlacement placeEvenly(std::span<TargetState* const> candidates,
+        const PlacementInput& input, const std::set<TargetId>& excluded, SteadyTime now,
+        const EvenLoad& even)
+    {
+        const double mean = input.speed.tokensPerMs();
+        const double tokensPerMs = mean > 0 ? mean : AssumedTokensPerMs;
+        // Parts that any engine can fetch cost no engine anything.
+        const double usual = static_cast<double>(input.prompt.tokens)
+            - static_cast<double>(std::min<uint64_t>(input.prompt.tokens, input.source.tokens));
+        BalancedChoice choice(BalancedChoice::Resource::Queue, even, candidates.size(), now);
+        for (size_t index = 0; index < candidates.size(); ++index) {
+            TargetState& candidate = *candidates[index];
+            if (excluded.contains(candidate.record.id))
+                continue;
+            const double speed = relativeSpeedOf(candidate, mean);
+            const Option option = optionAt(candidate, input, speed);
+            const double own = static_cast<double>(option.placement.tokensToPrefill);
+            const double ownWork = static_cast<double>(candidate.ownLoad.tokensToPrefill());
+            const double peersWork = static_cast<double>(candidate.peerLoadSum.tokensToPrefill());
+            choice.add(index, candidate.isAvoided(now),
+                { (option.tokens - own + usual) / (tokensPerMs * speed),
+                    (own - usual) / (tokensPerMs * speed) + option.extraTokens / tokensPerMs, speed,
+                    0, peersWork > 0 ? peersWork / (ownWork + peersWork) : 0 });
+        }
+        const std::optional<size_t> chosen = choice.choose();
+        if (!chosen)
+            return {};
+        TargetState& engine = *candidates[*chosen];
+        return optionAt(engine, input, relativeSpeedOf(engine, mean)).placement;
+    }
+
 } // namespace
 
+double prefillWork(uint64_t tokens, const PrefillSpeed& speed)
+{
+    const double tokensPerMs = speed.tokensPerMs();
+    return static_cast<double>(tokens) / (tokensPerMs > 0 ? tokensPerMs : AssumedTokensPerMs);
+}
+
 PromptPlacement placePrompt(std::span<TargetState* const> candidates,
     std::span<TargetState* const> cachingEngines, const fleet::Prompt& prompt,
     const PromptGoal& goal, const PrefixCacheIndex& cacheIndex, const PrefillSpeed& speed,
-    const std::set<TargetId>& excluded, SteadyTime now)
+    const std::set<TargetId>& excluded, SteadyTime now, const EvenLoad* even)
 {
     const PrefixCacheIndex::CachedPrefixes cachedPrefixes = cacheIndex.cachedPrefixes(prompt.parts);
+    const PrefixLookup prefixes(cachedPrefixes);
     const Source source
-        = cachedPrefixes.empty() ? Source {} : bestSource(cachingEngines, cachedPrefixes, now);
+        = cachedPrefixes.empty() ? Source {} : bestSource(cachingEngines, prefixes, now);
     const std::string_view key = sharedKey(prompt);
     const uint64_t shared = sharedTokens(prompt);
     // Only shared parts that no engine has cached need a home engine.
     const bool hasUncachedSharedParts = source.tokens < shared;
     const TargetState* home
         = hasUncachedSharedParts && !key.empty() ? homeEngine(candidates, key, now) : nullptr;
-
-    PromptPlacement best;
-    std::tuple<bool, double> bestRank;
-    for (TargetState* candidate : candidates) {
-        if (excluded.contains(candidate->record.id))
-            continue;
-        const uint64_t cached = std::min<uint64_t>(
-            prompt.tokens, cachedPrefixOf(cachedPrefixes, *candidate).expectedTokens);
-        const bool fetches = source.engine && source.engine != candidate && source.tokens > cached;
-        const uint64_t start = fetches ? std::min<uint64_t>(prompt.tokens, source.tokens) : cached;
-        const uint64_t toPrefill = prompt.tokens - start;
-        const Load load = candidate->load();
-        const Urgency urgency = urgencyOf(goal, speed.estimate(toPrefill));
-        const uint64_t ahead = load.tokensAhead(urgency);
-        double cost = static_cast<double>(ahead + toPrefill)
-            + LessUrgentWeight * static_cast<double>(load.tokensToPrefill() - ahead)
-            + FetchCostRatio * static_cast<double>(start - std::min(start, cached));
-        // Away from their home engine, shared parts would be prefilled more than once.
-        if (home && candidate != home && cached < shared)
-            cost += static_cast<double>(shared - std::min(shared, start));
-        cost += candidate->isConnected ? 0 : NewConnectionCostTokens;
-        cost += candidate->record.zone == goal.zone ? 0 : OtherZoneCostTokens;
-        const std::tuple<bool, double> rank(candidate->isAvoided(now), cost);
-        if (best.engine && rank >= bestRank)
-            continue;
-        bestRank = rank;
-        best = { candidate, fetches ? source.engine : nullptr, toPrefill, ahead, urgency };
-    }
-    const Milliseconds expected = speed.estimate(best.tokensAhead + best.tokensToPrefill);
-    if (best.engine && expected / OptimisticTimeDivisor > goal.timeLeft) {
+    const PlacementInput input { prompt, goal, speed, prefixes, source, home, shared };
+    PromptPlacement best = even ? placeEvenly(candidates, input, excluded, now, *even)
+                                : placeAtBest(candidates, input, excluded, now);
+    if (!best.engine)
+        return best;
+    best.expected = speed.estimate(best.tokensAhead + best.tokensToPrefill);
+    if (even)
+        best.expected = Milliseconds(static_cast<int64_t>(static_cast<double>(best.expected.count())
+            / relativeSpeedOf(*best.engine, speed.tokensPerMs())));
+    if (best.expected / OptimisticTimeDivisor > goal.timeLeft) {
         best.urgency = LateUrgency;
         best.tokensAhead = best.engine->load().tokensToPrefill();
     }
     return best;
 }
 
-namespace {
-
-    bool hasSeveralVersions(std::span<TargetState* const> engines)
-    {
-        return std::any_of(engines.begin(), engines.end(), [&engines](const TargetState* engine) {
-            return engine->record.version != engines.front()->record.version;
-        });
-    }
-
-    /** @return whether no other engine has the version of this one; those that fail do not count.
-     */
-    bool isOnlyOfVersion(
-        const TargetState& engine, std::span<TargetState* const> engines, SteadyTime now)
-    {
-        return std::none_of(engines.begin(), engines.end(), [&](const TargetState* other) {
-            return other != &engine && other->record.version == engine.record.version
-                && !other->isAvoided(now);
-        });
-    }
-
-} // namespace
-
-TargetState* chooseDecodeEngine(std::span<TargetState* const> decodeEngines,
-    const std::set<TargetId>& excluded, const DecodeGoal& goal, SteadyTime now)
-{
-    const bool avoidsOnlyOnes = goal.isResumable && hasSeveralVersions(decodeEngines);
-    TargetState* best = nullptr;
-    std::tuple<bool, uint64_t> bestRank;
-    for (TargetState* decodeEngine : decodeEngines) {
-        if (excluded.contains(decodeEngine->record.id))
-            continue;
-        const Load load = decodeEngine->load();
-        uint64_t cost = load.usedCacheTokens + load.requests * TransferSetupTokens;
-        if (decodeEngine->record.zone != goal.zone)
-            cost += OtherZoneTransfers * (goal.promptTokens + TransferSetupTokens);
-        if (avoidsOnlyOnes && isOnlyOfVersion(*decodeEngine, decodeEngines, now))
-            cost += OnlyOfVersionRequests * TransferSetupTokens;
-        const std::tuple<bool, uint64_t> rank(decodeEngine->isAvoided(now), cost);
-        if (!best || rank < bestRank) {
-            best = decodeEngine;
-            bestRank = rank;
-        }
-    }
-    return best;
-}
-
 } // namespace citronspoke::dispatch
--- a/libs/dispatch/src/TargetDirectory.cpp
+++ b/libs/dispatch/src/TargetDirectory.cpp
@@ -64,6 +64,8 @@
 
 bool TargetState::isAvoided(SteadyTime now) const
 {
+    if (consecutiveUnreachable == 0 && peerFailures.empty())
+        return avoidUntil > now;
     return avoidUntil > now || isSuspectedLost(now);
 }
 
@@ -94,6 +96,9 @@
         && state.record.startedAt == record.startedAt && state.record.address == record.address;
     if (!isSameIncarnation)
         state = TargetState {};
+    if (!isSameIncarnation || state.record.pool != record.pool)
+        m_poolMembers.clear();
+    state.idHash = stableHash(record.id.text());
     // A heartbeat does not show that a stale record is right.
     state.record.sequence = record.sequence;
     if (state.record != record)
@@ -137,21 +142,33 @@
         drop(found, now);
     else
         found->second.mayReturnUntil = mayReturnUntil;
+    m_nextReturnEnd = std::min(m_nextReturnEnd, mayReturnUntil);
 }
 
 void TargetDirectory::drop(std::map<TargetId, TargetState>::iterator target, SteadyTime now)
 {
     m_removed[target->first] = { target->second.record, now };
+    m_poolMembers.clear();
     m_targets.erase(target);
 }
 
-void TargetDirectory::expire(SteadyTime now)
+void TargetDirectory::dropMissing(SteadyTime now)
 {
+    m_nextReturnEnd = SteadyTime::max();
     for (auto target = m_targets.begin(); target != m_targets.end();) {
         const auto current = target++;
-        if (current->second.mayReturnUntil && now >= *current->second.mayReturnUntil)
+        const std::optional<SteadyTime> end = current->second.mayReturnUntil;
+        if (end && now >= *end)
             drop(current, now);
+        else if (end)
+            m_nextReturnEnd = std::min(m_nextReturnEnd, *end);
     }
+}
+
+void TargetDirectory::expire(SteadyTime now)
+{
+    if (now >= m_nextReturnEnd)
+        dropMissing(now);
     acceptUnconfirmed(now);
     // expire() is called many times a second; stale loads may be detected a little later.
     constexpr Milliseconds CheckInterval { 100 };
@@ -159,6 +176,7 @@
         dropStalePeerLoads(now);
         dropOldDepartures(now);
         dropOldRemovals(now);
+        m_reportAges.expire(now, PeerReportTimeout);
     }
 }
 
@@ -229,6 +247,11 @@
         state->peerLoads[peer] = { load, now };
 }
 
+void TargetDirectory::notePeerUpdate(const EntryId& peer, uint64_t sequenceNumber, SteadyTime now)
+{
+    m_reportAges.note(peer, sequenceNumber, now);
+}
+
 std::vector<TargetState*> TargetDirectory::usable(const PoolId& pool, SteadyTime now)
 {
     std::vector<TargetState*> states = allInPool(pool, now);
@@ -241,12 +264,12 @@
 std::vector<TargetState*> TargetDirectory::allInPool(const PoolId& pool, SteadyTime now)
 {
     expire(now);
-    std::vector<TargetState*> states;
-    for (auto& [id, state] : m_targets) {
-        if (state.record.pool == pool)
-            states.push_back(&state);
+    const auto [members, isNew] = m_poolMembers.try_emplace(pool);
+    for (auto target = m_targets.begin(); isNew && target != m_targets.end(); ++target) {
+        if (target->second.record.pool == pool)
+            members->second.push_back(&target->second);
     }
-    return states;
+    return members->second;
 }
 
 TargetState* TargetDirectory::find(const TargetId& id)
@@ -307,25 +330,4 @@
     }
 }
 
-TargetState* chooseTarget(std::span<TargetState* const> candidates,
-    const std::set<TargetId>& excluded, const ZoneId& ownZone, double draw, SteadyTime now)
-{
-    TargetState* best = nullptr;
-    std::tuple<bool, double, bool> bestRank;
-    const size_t first = static_cast<size_t>(draw * static_cast<double>(candidates.size()));
-    for (size_t step = 0; step < candidates.size(); ++step) {
-        TargetState* state = candidates[(first + step) % candidates.size()];
-        if (excluded.contains(state->record.id))
-            continue;
-        const double fullness = static_cast<double>(state->load().requests) / state->record.slots;
-        const std::tuple<bool, double, bool> rank(
-            state->isAvoided(now), fullness, state->record.zone != ownZone);
-        if (!best || rank < bestRank) {
-            best = state;
-            bestRank = rank;
-        }
-    }
-    return best;
-}
-
 } // namespace citronspoke::dispatch
