Gateway: setting even_load, metrics of expected and measured prefill time by age of reports

Cause: the choice of engines from stale reports needs the gateway's own rate, the age of reports and engines' speeds.

--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -11,6 +11,7 @@
     , settings(settings)
     , zone(settings.zone)
     , targetConnections(loop, {})
+    , evenLoads(EntryId(settings.id), settings.hasEvenLoad)
     , pacer(EntryId(settings.id), settings.limitNoticeTime)
     , retryBudget({ settings.retries.share, settings.retries.fixedPart, settings.retries.window },
           steadyNow())
@@ -20,6 +21,22 @@
 
 void GatewayContext::noteRunBegun(const OrganisationId& /*organisation*/) { }
 
+void GatewayContext::notePrefilled(
+    const fleet::TargetRecord& engine, uint64_t tokens, uint64_t tokensAhead, Milliseconds took)
+{
+    prefillSpeeds[engine.pool].notePrefilled(tokens, tokensAhead, took);
+    const std::optional<double> speed = dispatch::PrefillSpeed::measured(tokens, tokensAhead, took);
+    dispatch::TargetState* state = sameIncarnation(engine);
+    if (speed && state)
+        state->speeds.prefill.note(*speed, steadyNow());
+}
+
+dispatch::TargetState* GatewayContext::sameIncarnation(const fleet::TargetRecord& target)
+{
+    dispatch::TargetState* state = directory.find(target.id);
+    return state && state->record.incarnation() == target.incarnation() ? state : nullptr;
+}
+
 void GatewayContext::noteStarted(const TargetId& target, const dispatch::Load& load)
 {
     directory.noteStarted(target, load);
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CrashQuarantine.h"
+#include "EvenLoads.h"
 #include "PartQuarantine.h"
 #include "conditions/Conditions.h"
 #include "dispatch/Dispatch.h"
@@ -25,7 +26,9 @@
     channels::ConnectionPool targetConnections;
     dispatch::TargetDirectory directory;
     dispatch::PrefixCacheIndex prefixCacheIndex;
+    /** The mean over the engines of each pool; the directory has those of single engines. */
     std::map<PoolId, dispatch::PrefillSpeed> prefillSpeeds;
+    EvenLoads evenLoads;
     /** The demand of this gateway's requests. */
     std::map<PoolId, roles::DemandMeter> demandMeters;
     roles::ReportedRoles reportedRoles;
@@ -53,6 +56,11 @@
      * @param organisation empty where the deployment declares none.
      */
     void noteRunBegun(const OrganisationId& organisation);
+    /** An engine has prefilled a prompt. @see PrefillSpeed::notePrefilled() */
+    void notePrefilled(const fleet::TargetRecord& engine, uint64_t tokens, uint64_t tokensAhead,
+        Milliseconds took);
+    /** @return the state of a target while it is the same incarnation; else null. */
+    dispatch::TargetState* sameIncarnation(const fleet::TargetRecord& target);
     /** Work at a target begins or ends; the new load is published to the other gateways. */
     void noteStarted(const TargetId& target, const dispatch::Load& load);
     void noteFinished(const TargetId& target, const dispatch::Load& load);
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -136,6 +136,7 @@
     const std::vector<EntryId> all = gateways();
     m_context.pacer.updateGateways(all, steadyNow());
     m_context.streams->updateGateways(all);
+    m_context.evenLoads.updateGateways(all);
     m_announcement.updateOwners(m_peers.size());
     if (m_peers.size() != m_loggedGatewayCounts.first)
         updateGatewayCount();
@@ -236,6 +237,8 @@
 
 void PeerGroup::onUpdate(const peers::Update& update, SteadyTime now)
 {
+    if (m_peers.contains(update.sender))
+        m_context.directory.notePeerUpdate(update.sender, update.sequenceNumber, now);
     for (const peers::LoadReport& report : update.loads)
         m_context.directory.notePeerLoad(report.target, update.sender, report.load, now);
     for (const TargetId& target : update.replaced)
--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -5,6 +5,8 @@
 #include "Statuses.h"
 #include "telemetry/Telemetry.h"
 
+#include <cmath>
+
 namespace citronspoke::gateway {
 
 namespace {
@@ -164,7 +166,7 @@
         return state->record.role == EngineRole::Prefill;
     });
     dispatch::TargetState* state = dispatch::chooseTarget(readyTargets(states), m_excludedTargets,
-        m_context.zone, m_context.randomFraction(), steadyNow());
+        m_context.zone, m_context.randomFraction(), steadyNow(), nextEvenLoad(ChoiceKind::Target));
     if (!state)
         return awaitTurn(states);
     if (confirmIncarnation(state->record))
@@ -192,9 +194,10 @@
             { state->record.address, state->record.id.text() });
     const dispatch::PromptGoal goal { m_route->priority, m_route->latencyObjective - age(),
         m_context.zone };
+    const dispatch::EvenLoad* even = nextEvenLoad(ChoiceKind::PrefillEngine);
     const dispatch::PromptPlacement placement = dispatch::placePrompt(readyTargets(states),
         cachingEngines, *m_callerInfo.prompt, goal, m_context.prefixCacheIndex,
-        m_context.prefillSpeeds[m_pool->id], m_excludedTargets, steadyNow());
+        m_context.prefillSpeeds[m_pool->id], m_excludedTargets, steadyNow(), even);
     if (!placement.engine)
         return !mayRunWhole() && awaitTurn(states);
     if (m_attempts == 0)
@@ -209,6 +212,8 @@
     fields.priority = placement.urgency;
     dispatch::Load load { 1, {}, 0 };
     load.promptTokens[placement.urgency] = placement.tokensToPrefill;
+    if (even)
+        m_expected = { placement.expected, Milliseconds(std::llround(even->reportAgeMs)) };
     send(Step::Prefill, placement.engine->record, load, std::move(fields));
     m_attempt->tokensAhead = placement.tokensAhead;
     return true;
@@ -219,8 +224,8 @@
     const TargetStates states = decodeEngines();
     const dispatch::DecodeGoal goal { m_prefilledPrompt->prefillEngine.zone,
         m_callerInfo.prompt->tokens, m_route->isResumable };
-    dispatch::TargetState* state
-        = dispatch::chooseDecodeEngine(readyTargets(states), m_excludedTargets, goal, steadyNow());
+    dispatch::TargetState* state = dispatch::chooseDecodeEngine(readyTargets(states),
+        m_excludedTargets, goal, steadyNow(), nextEvenLoad(ChoiceKind::DecodeEngine));
     if (!state)
         return awaitTurn(states);
     if (confirmIncarnation(state->record))
@@ -246,6 +251,8 @@
     m_attempt->load = load;
     m_attempt->tokensToPrefill = load.tokensToPrefill();
     m_attempt->startedAt = steadyNow();
+    m_attempt->expected = std::exchange(m_expected, std::nullopt);
+    noteWorkSent();
     fields.target = target.id;
     fields.timeLeft = std::max(Milliseconds(1), timeLeft());
     fields.lastEventId = m_lastEventId;
@@ -295,9 +302,38 @@
             { "urgency", numberText(fields.priority) },
             { "fetch", fields.fetchPartsFrom ? fields.fetchPartsFrom->text() : "" },
             { "kept_connection", m_attempt->exchange->isSent() ? "yes" : "no" },
+            { "expected_ms",
+                m_attempt->expected ? millisecondsText(m_attempt->expected->time) : "" },
+            { "report_age_ms",
+                m_attempt->expected ? millisecondsText(m_attempt->expected->reportAge) : "" },
             { "left_ms", millisecondsText(fields.timeLeft) } });
 }
 
+const dispatch::EvenLoad* RequestHandler::nextEvenLoad(ChoiceKind kind)
+{
+    return m_context.evenLoads.next(
+        m_pool->id, kind, m_context.directory, m_context.randomFraction(), steadyNow());
+}
+
+void RequestHandler::noteWorkSent()
+{
+    const auto note = [this](ChoiceKind kind, double work) {
+        m_context.evenLoads.noteSent(m_pool->id, kind, work, steadyNow());
+    };
+    switch (m_attempt->step) {
+    case Step::RunWhole:
+        note(ChoiceKind::Target, 1);
+        break;
+    case Step::Prefill:
+        note(ChoiceKind::PrefillEngine,
+            dispatch::prefillWork(m_attempt->tokensToPrefill, m_context.prefillSpeeds[m_pool->id]));
+        break;
+    case Step::Decode:
+        note(ChoiceKind::DecodeEngine, dispatch::decodeWork(m_attempt->load.usedCacheTokens));
+        break;
+    }
+}
+
 Milliseconds RequestHandler::timeLeft() const
 {
     return std::chrono::duration_cast<Milliseconds>(m_deadline - steadyNow());
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -55,6 +55,13 @@
      */
     enum class Outcome : uint8_t { Served, FailedByTarget, NotExecuted, NotSent, Unknown };
 
+    /** When the end of a prefill is expected, from the placement. */
+    struct ExpectedTime {
+        Milliseconds time { 0 };
+        /** Mean age of what was known of other gateways' work. */
+        Milliseconds reportAge { 0 };
+    };
+
     struct Attempt {
         uint32_t number = 0;
         Step step = Step::RunWhole;
@@ -65,6 +72,7 @@
         uint64_t tokensAhead = 0;
         /** Tokens of this prompt that the target is expected to prefill. */
         uint64_t tokensToPrefill = 0;
+        std::optional<ExpectedTime> expected;
         SteadyTime startedAt;
         channels::ExchangePointer exchange;
         std::optional<http1::ResponseHead> head;
@@ -110,6 +118,9 @@
     bool sendDecode();
     void send(Step step, const fleet::TargetRecord& target, const dispatch::Load& load,
         adapter::TargetRequestFields fields);
+    /** @return null unless requests are spread evenly. */
+    const dispatch::EvenLoad* nextEvenLoad(ChoiceKind kind);
+    void noteWorkSent();
 
     /** Removes the targets whose version is not the one that began the stream, if it has begun. */
     void keepStreamVersion(TargetStates& states) const;
@@ -235,6 +246,8 @@
     std::optional<Turn> m_decodeTurn;
     /** The next send uses a turn that was booked. */
     bool m_isTurnBooked = false;
+    /** Of the next attempt. */
+    std::optional<ExpectedTime> m_expected;
     channels::Timer m_turnTimer;
     std::optional<PrefilledPrompt> m_prefilledPrompt;
     uint32_t m_attempts = 0;
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -248,8 +248,11 @@
         try {
             m_prefilledPrompt = PrefilledPrompt { m_attempt->target,
                 adapter::decodePromptHandle(m_attempt->body) };
-            m_context.prefillSpeeds[m_pool->id].notePrefilled(
-                m_attempt->tokensToPrefill, m_attempt->tokensAhead, since(m_attempt->startedAt));
+            m_context.notePrefilled(m_attempt->target, m_attempt->tokensToPrefill,
+                m_attempt->tokensAhead, since(m_attempt->startedAt));
+            if (m_attempt->expected)
+                EvenLoads::observePrefill(m_attempt->expected->time, since(m_attempt->startedAt),
+                    m_attempt->expected->reportAge);
             m_context.noteCachedParts(m_attempt->target.id, m_callerInfo.prompt->parts);
             m_context.peers->noteCachedParts(m_attempt->target.id, m_callerInfo.prompt->parts);
             // Attempts at decode engines start with no target excluded.
@@ -302,9 +305,15 @@
 
 void RequestHandler::noteDecodeFinished()
 {
-    if (m_attempt->step == Step::Decode && m_attempt->isRelayed)
-        m_context.demandMeters[m_pool->id].noteDecodeFinished(since(m_attempt->headReceivedAt),
-            m_callerInfo.prompt->tokens, *m_pool->engine, steadyNow());
+    if (m_attempt->step != Step::Decode || !m_attempt->isRelayed)
+        return;
+    const Milliseconds took = since(m_attempt->headReceivedAt);
+    m_context.demandMeters[m_pool->id].noteDecodeFinished(
+        took, m_callerInfo.prompt->tokens, *m_pool->engine, steadyNow());
+    if (m_attempt->events > 1)
+        m_context.evenLoads.noteDecoded(m_pool->id, m_context.sameIncarnation(m_attempt->target),
+            static_cast<double>(took.count()) / static_cast<double>(m_attempt->events - 1),
+            steadyNow());
 }
 
 void RequestHandler::finishServed()
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -287,6 +287,8 @@
     RetryLimits retries;
     /** The whole system starts for the first time, so no engine has cached prompt parts yet. */
     bool isFirstStart = false;
+    /** Spread requests evenly although reports of other gateways are old. */
+    bool hasEvenLoad = false;
 };
 
 /** Settings of the sidecar beside a model engine. */
--- a/libs/settings/src/GatewayAndSidecarSettings.cpp
+++ b/libs/settings/src/GatewayAndSidecarSettings.cpp
@@ -10,7 +10,7 @@
 
     constexpr double MsPerSecond = 1000;
 
-    constexpr std::array<KeyRule, 15> GatewayRules {
+    constexpr std::array<KeyRule, 16> GatewayRules {
         KeyRule { "", "id", ValueKind::Text, true },
         KeyRule { "", "zone", ValueKind::Text, true },
         KeyRule { "", "callers", ValueKind::Address, true },
@@ -26,6 +26,7 @@
         KeyRule { "", "limit_notice_ms", ValueKind::Integer, true, 0, 3600000 },
         KeyRule { "", "sidecar_port", ValueKind::Integer, true, 1, 65535 },
         KeyRule { "", "first_start", ValueKind::Flag, false },
+        KeyRule { "", "even_load", ValueKind::Flag, false },
     };
 
     constexpr std::array<KeyRule, 4> SidecarRules {
@@ -78,6 +79,7 @@
     gateway.retries.fixedPart = reader.real("retry_fixed_part", 0);
     gateway.retries.window = readSeconds(reader, "retry_window_s");
     gateway.isFirstStart = reader.flag("first_start", false);
+    gateway.hasEvenLoad = reader.flag("even_load", false);
     return gateway;
 }
 
--- a/libs/settings/tests/GatewaySettingsTests.cpp
+++ b/libs/settings/tests/GatewaySettingsTests.cpp
@@ -59,6 +59,14 @@
     cr_assert(isUnreadable);
 }
 
+// Guards against deployments that change their choice of targets without asking for it.
+Test(gateway_settings, even_load_is_off_unless_set)
+{
+    cr_assert_not(parseGatewaySettings({ "gateway.toml", Gateway }).hasEvenLoad);
+    const std::string even = std::string(Gateway) + "even_load = true\n";
+    cr_assert(parseGatewaySettings({ "gateway.toml", even }).hasEvenLoad);
+}
+
 Test(gateway_settings, first_start_is_off_unless_set)
 {
     cr_assert_not(parseGatewaySettings({ "gateway.toml", Gateway }).isFirstStart);
--- a/libs/telemetry/include/telemetry/Telemetry.h
+++ b/libs/telemetry/include/telemetry/Telemetry.h
@@ -34,7 +34,7 @@
 /** Sets the gauge "citronspoke_NAME". */
 void gauge(std::string_view name, double value, Fields labels = {});
 /** Adds a duration to the histogram "citronspoke_NAME_seconds". */
-void observe(std::string_view name, std::chrono::duration<double> duration);
+void observe(std::string_view name, std::chrono::duration<double> duration, Fields labels = {});
 /** @return all metrics in the Prometheus text format. */
 std::string metricsText();
 
--- a/libs/telemetry/src/Metrics.cpp
+++ b/libs/telemetry/src/Metrics.cpp
@@ -55,12 +55,12 @@
         .Set(value);
 }
 
-void observe(std::string_view name, std::chrono::duration<double> duration)
+void observe(std::string_view name, std::chrono::duration<double> duration, Fields labels)
 {
     prometheus::BuildHistogram()
         .Name(metricName(name, "_seconds"))
         .Register(registry())
-        .Add({}, LatencyBuckets)
+        .Add(labelsOf(labels), LatencyBuckets)
         .Observe(duration.count());
 }
 
