libs/dispatch: sums of prompt tokens by urgency are kept with each target

Change: TargetState keeps the sums and updates them when a load changes; home engines are a range of positions.

--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -114,15 +114,25 @@
     SteadyTime excludedUntil {};
     /** Set when the record is missing from the store but may be registered again until then. */
     std::optional<SteadyTime> mayReturnUntil;
+    /** Prompt tokens of all entries by urgency, each with those of more urgent prompts. */
+    std::array<uint64_t, UrgencyLevels> tokensAhead {};
+    /** Prompt tokens of the other entries. */
+    uint64_t peerTokens = 0;
     /** Hash of the target's id. */
     uint64_t idHash = 0;
     /** Measured by this process. */
     balance::EngineSpeeds speeds;
 
+    /** Must be called after a change of the loads. */
+    void updateTokens();
     /** @return the load from all entries, as far as it is known. */
     Load load() const;
     /** @return whether requests should go elsewhere while there are other targets. */
-    bool isAvoided(SteadyTime now) const;
+    bool isAvoided(SteadyTime now) const
+    {
+        const bool mayBeLost = consecutiveUnreachable > 0 || !peerFailures.empty();
+        return avoidUntil > now || (mayBeLost && isSuspectedLost(now));
+    }
     /**
      * @return whether the target seems to be gone, although its record is still in the store: this
      *         entry could not connect to it repeatedly, or several entries could not lately.
--- a/libs/dispatch/src/BalancedChoice.cpp
+++ b/libs/dispatch/src/BalancedChoice.cpp
@@ -12,27 +12,18 @@
     Resource resource, const EvenLoad& even, size_t candidates, SteadyTime now)
     : m_resource(resource)
     , m_even(even)
-    , m_count(candidates)
     , m_now(now)
     , m_scratch(scratch())
 {
     m_scratch.candidates.clear();
     m_scratch.positions.clear();
-}
-
-void BalancedChoice::add(size_t position, bool isAvoided, balance::Candidate candidate)
-{
-    if (isAvoided && !m_isAvoided)
+    if (even.gateway >= even.gateways || even.gateways > candidates)
         return;
-    if (!isAvoided && m_isAvoided) {
-        m_scratch.candidates.clear();
-        m_scratch.positions.clear();
-        m_isAvoided = false;
-    }
-    candidate.ageMs = m_even.reportAgeMs;
-    candidate.isHome = balance::isHomeOf(m_even.gateway, m_even.gateways, position, m_count);
-    m_scratch.candidates.push_back(candidate);
-    m_scratch.positions.push_back(position);
+    const auto firstHomeOf = [&](size_t gateway) {
+        return (gateway * candidates + even.gateways - 1) / even.gateways;
+    };
+    m_homeBegin = firstHomeOf(even.gateway);
+    m_homeEnd = firstHomeOf(even.gateway + 1);
 }
 
 std::optional<size_t> BalancedChoice::choose() const
--- a/libs/dispatch/src/PromptPlacement.cpp
+++ b/libs/dispatch/src/PromptPlacement.cpp
@@ -182,10 +182,8 @@
             relativeSpeed == 1 ? estimate
                                : Milliseconds(static_cast<int64_t>(
                                    static_cast<double>(estimate.count()) / relativeSpeed)));
-        const uint64_t ahead
-            = candidate.ownLoad.tokensAhead(urgency) + candidate.peerLoadSum.tokensAhead(urgency);
-        const uint64_t all
-            = candidate.ownLoad.tokensToPrefill() + candidate.peerLoadSum.tokensToPrefill();
+        const uint64_t ahead = candidate.tokensAhead[urgency];
+        const uint64_t all = candidate.tokensAhead.back();
         Option option;
         option.placement
             = { &candidate, fetches ? input.source.engine : nullptr, toPrefill, ahead, urgency };
@@ -207,7 +205,7 @@
         PromptPlacement best;
         std::tuple<bool, double> bestRank;
         for (TargetState* candidate : candidates) {
-            if (excluded.contains(candidate->record.id))
+            if (!excluded.empty() && excluded.contains(candidate->record.id))
                 continue;
             const Option option = optionAt(*candidate, input, 1);
             const std::tuple<bool, double> rank(
@@ -241,17 +239,17 @@
         BalancedChoice choice(BalancedChoice::Resource::Queue, even, candidates.size(), now);
         for (size_t index = 0; index < candidates.size(); ++index) {
             TargetState& candidate = *candidates[index];
-            if (excluded.contains(candidate.record.id))
+            if (!excluded.empty() && excluded.contains(candidate.record.id))
                 continue;
             const double speed = relativeSpeedOf(candidate, mean);
             const Option option = optionAt(candidate, input, speed);
             const double own = static_cast<double>(option.placement.tokensToPrefill);
-            const double ownWork = static_cast<double>(candidate.ownLoad.tokensToPrefill());
-            const double peersWork = static_cast<double>(candidate.peerLoadSum.tokensToPrefill());
+            const double work = static_cast<double>(candidate.tokensAhead.back());
+            const double peersWork = static_cast<double>(candidate.peerTokens);
             choice.add(index, candidate.isAvoided(now),
                 { (option.tokens - own + usual) / (tokensPerMs * speed),
                     (own - usual) / (tokensPerMs * speed) + option.extraTokens / tokensPerMs, speed,
-                    0, peersWork > 0 ? peersWork / (ownWork + peersWork) : 0 });
+                    0, work > 0 ? peersWork / work : 0 });
         }
         const std::optional<size_t> chosen = choice.choose();
         if (!chosen)
--- a/libs/dispatch/src/TargetDirectory.cpp
+++ b/libs/dispatch/src/TargetDirectory.cpp
@@ -62,11 +62,14 @@
     return sum;
 }
 
-bool TargetState::isAvoided(SteadyTime now) const
+void TargetState::updateTokens()
 {
-    if (consecutiveUnreachable == 0 && peerFailures.empty())
-        return avoidUntil > now;
-    return avoidUntil > now || isSuspectedLost(now);
+    uint64_t sum = 0;
+    for (size_t level = 0; level < UrgencyLevels; ++level) {
+        sum += ownLoad.promptTokens[level] + peerLoadSum.promptTokens[level];
+        tokensAhead[level] = sum;
+    }
+    peerTokens = peerLoadSum.tokensToPrefill();
 }
 
 bool TargetState::isSuspectedLost(SteadyTime now) const
@@ -228,6 +231,7 @@
                 total -= item.second.load;
             return isStale;
         });
+        state.updateTokens();
     }
 }
 
@@ -241,6 +245,7 @@
     if (before != state->peerLoads.end())
         state->peerLoadSum -= before->second.load;
     state->peerLoadSum += load;
+    state->updateTokens();
     if (load == Load {})
         state->peerLoads.erase(peer);
     else
@@ -280,14 +285,20 @@
 
 void TargetDirectory::noteStarted(const TargetId& id, const Load& load)
 {
-    if (TargetState* state = find(id))
-        state->ownLoad += load;
+    TargetState* state = find(id);
+    if (!state)
+        return;
+    state->ownLoad += load;
+    state->updateTokens();
 }
 
 void TargetDirectory::noteFinished(const TargetId& id, const Load& load)
 {
-    if (TargetState* state = find(id))
-        state->ownLoad -= load;
+    TargetState* state = find(id);
+    if (!state)
+        return;
+    state->ownLoad -= load;
+    state->updateTokens();
 }
 
 void TargetDirectory::noteResult(const TargetId& id, AttemptResult result, SteadyTime now)
