Duties: a holder that appears during an acquisition is not replaced

Cause: seen in the tests: a gateway that learned of a new holder between the grant of its lease and its write used the new holder's revision as precondition and replaced it. Also, after a start all gateways had waited their delays already, so any of them acquired the duties, not the first collector, and a holder that is no collector records windows 2 s before they are due. Change: the vacancy is checked again before the write; the delays begin when a gateway may acquire.

--- a/apps/gateway/DutyRunner.cpp
+++ b/apps/gateway/DutyRunner.cpp
@@ -61,7 +61,7 @@
     , m_schedule(scheduleOptions(context.settings.duties))
     , m_startedAt(context.clocks.boot())
     , m_tickedAt(m_startedAt)
-    , m_vacantSince(m_startedAt)
+    , m_eligibleSince(m_startedAt)
     , m_timer(context.loop)
 {
     m_context.usage = &m_usage;
@@ -124,13 +124,16 @@
 void DutyRunner::acquireWhenVacant()
 {
     const duties::BootTime time = now();
-    const bool isVacant = !m_holder || m_holder->value.empty();
-    if (m_isStopping || !m_hasRead || !isVacant || m_leaseCall || !m_lease.mayAcquire(time))
+    if (!isVacant() || !m_lease.mayAcquire(time)) {
+        m_eligibleSince = time;
+        return;
+    }
+    if (m_isStopping || m_leaseCall)
         return;
     const Milliseconds wait
         = AcquireDelay * static_cast<int64_t>(std::min(m_usage.place(), MaxPlace));
     const bool isInContact = m_context.declarationAge() <= m_context.settings.applyTime;
-    if (!isInContact || time < m_acquireAt || time - m_vacantSince < wait)
+    if (!isInContact || time < m_acquireAt || time - m_eligibleSince < wait)
         return;
     m_grantSentAt = time;
     callStore(
@@ -142,6 +145,9 @@
 void DutyRunner::onGranted(const storefeed::StoreResponse& response)
 {
     m_storeLease = adapter::decodeLease(response.status, response.body, response.era);
+    // Another gateway may have acquired them meanwhile; its key must not be replaced.
+    if (!isVacant())
+        return;
     m_requestedNumber = m_lease.nextFencingNumber(m_usage.trueTime());
     const std::string number = std::to_string(m_requestedNumber.value());
     const std::vector<adapter::StoreWrite> writes {
@@ -226,7 +232,6 @@
     m_lease.noteRestored(now());
     m_hasRead = false;
     m_holder.reset();
-    m_vacantSince = now();
     m_generationRevision = {};
     m_recordLease.reset();
     m_storedDoneThrough.reset();
@@ -241,6 +246,8 @@
         m_schedule.noteDoneThrough(*status.doneThrough);
 }
 
+bool DutyRunner::isVacant() const { return m_hasRead && (!m_holder || m_holder->value.empty()); }
+
 bool DutyRunner::mayAct() const { return m_hasRead && m_lease.mayAct(now()); }
 
 } // namespace citronspoke::gateway
--- a/apps/gateway/DutyRunner.h
+++ b/apps/gateway/DutyRunner.h
@@ -33,6 +33,8 @@
     void onOtherStatus(const duties::DutyStatus& status);
 
     void acquireWhenVacant();
+    /** @return whether the store certainly names no holder, as far as its feed has shown. */
+    bool isVacant() const;
     void onGranted(const storefeed::StoreResponse& response);
     void onAcquired(const storefeed::StoreResponse& response);
     void renew();
@@ -72,7 +74,8 @@
     /** The key of the holder; none while it is missing. */
     std::optional<adapter::StoreItem> m_holder;
     adapter::StoreRevision m_generationRevision;
-    duties::BootTime m_vacantSince {};
+    /** Since when this gateway may acquire the duties. */
+    duties::BootTime m_eligibleSince {};
     duties::BootTime m_acquireAt {};
     duties::BootTime m_grantSentAt {};
     FencingNumber m_requestedNumber;
--- a/apps/gateway/DutyRunnerUsage.cpp
+++ b/apps/gateway/DutyRunnerUsage.cpp
@@ -92,13 +92,9 @@
         else if (!item)
             m_lease.noteGap(now());
     }
-    const bool wasVacant = !m_holder || m_holder->value.empty();
     m_holder = item;
-    const bool isVacant = !m_holder || m_holder->value.empty();
-    if (isVacant && !wasVacant)
-        m_vacantSince = now();
     std::optional<EntryId> name;
-    if (!isVacant)
+    if (item && !item->value.empty())
         name = EntryId(m_holder->value.substr(0, m_holder->value.rfind(' ')));
     m_usage.updateHolder(name);
 }
--- a/libs/duties/include/duties/Duties.h
+++ b/libs/duties/include/duties/Duties.h
@@ -17,7 +17,6 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
 };
 using BootTime = BootClock::time_point;
 
--- a/libs/duties/src/UsageCounts.cpp
+++ b/libs/duties/src/UsageCounts.cpp
@@ -4,6 +4,12 @@
 
 namespace citronspoke::duties {
 
+namespace {
+
+    const Counts NoCounts;
+
+} // namespace
+
 void UsageCounts::add(
     WindowNumber window, const CountSource& source, const OrganisationId& organisation)
 {
@@ -37,12 +43,11 @@
 
 const Counts& UsageCounts::of(WindowNumber window, const CountSource& source) const
 {
-    static const Counts None;
     const auto sources = m_windows.find(window);
     if (sources == m_windows.end())
-        return None;
+        return NoCounts;
     const auto counts = sources->second.find(source);
-    return counts == sources->second.end() ? None : counts->second;
+    return counts == sources->second.end() ? NoCounts : counts->second;
 }
 
 std::vector<WindowNumber> UsageCounts::windows(const CountSource& source) const
