--- a/apps/gateway/DeclarationExchange.cpp
+++ b/apps/gateway/DeclarationExchange.cpp
@@ -93,7 +93,7 @@
     // Gateways of earlier versions respond with their metrics.
     if (!age)
         return;
-    m_hasResponse = true;
+    m_hasResponse = m_hasResponse || Milliseconds(*age) <= m_contactTime;
     std::optional<SteadyTime> confirmed;
     if (Milliseconds(*age) <= m_contactTime)
         confirmed = sentAt - Milliseconds(*age);
@@ -123,9 +123,11 @@
     const std::optional<int64_t> after
         = target.starts_with(Query) ? parseNumber(target.substr(Query.size())) : std::nullopt;
     channels::StatusServer::Page page;
-    page.headers.add(StoreAgeField, millisecondsText(m_context.storeAge()));
     page.status = NoContent;
-    if (after && m_context.routes && ConfigRevision(*after) < revision()) {
+    // A gateway without a declaration has nothing to confirm and must not end the search.
+    if (m_context.routes)
+        page.headers.add(StoreAgeField, millisecondsText(m_context.storeAge()));
+    if (after && m_context.keys && ConfigRevision(*after) < revision()) {
         page.status = Ok;
         page.contentType = "application/json";
         page.body = m_declarations.documentWithoutKeys();
--- a/apps/gateway/DeclarationExchange.h
+++ b/apps/gateway/DeclarationExchange.h
@@ -28,6 +28,8 @@
     /** @return when the store, as far as other gateways have reported, last confirmed the
      * declaration in force; none before the first report. */
     std::optional<SteadyTime> lastConfirmed() const noexcept { return m_lastConfirmed; }
+    /** The store was restored from an older copy; other gateways may have a newer declaration. */
+    void noteRestored() noexcept { m_hasResponse = false; }
 
 private:
     bool needsOthers() const;
@@ -45,7 +47,8 @@
     std::shared_ptr<void> m_call;
     std::optional<fleet::Address> m_lastAsked;
     std::optional<SteadyTime> m_lastConfirmed;
-    /** Another gateway has responded since this one started. */
+    /** A gateway in contact with the store has responded since this one started, and since the
+     * last restore of the store. */
     bool m_hasResponse = false;
 };
 
--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -69,6 +69,7 @@
 {
     m_context.peers = &m_peers;
     m_context.streams = &m_streams;
+    m_store.onRestored([this] { m_exchange.noteRestored(); });
     if (settings.duties.reportsUsage())
         m_duties.emplace(m_context, m_peers, m_store);
     m_context.storeAge = [this] {
--- a/libs/duties/tests/DutyLeaseTests.cpp
+++ b/libs/duties/tests/DutyLeaseTests.cpp
@@ -108,6 +108,15 @@
     expectNoViolation({ 3, 4, 0, 1, 0, 1 });
 }
 
+// Guards against a fencing number that is given out twice: clocks differ by up to 6 s, two lease
+// times, until three gateways have exchanged theirs.
+Test(duty_model, keeps_the_requirements_while_clocks_differ_by_two_lease_times)
+{
+    ModelLimits limits { 2, 7, 1, 0, 0, 0 };
+    limits.clockStep = 6;
+    expectNoViolation(limits);
+}
+
 // Shows that the model finds faults: without the margin, without the wait after a restore.
 Test(duty_model, finds_a_holder_that_acts_too_long)
 {
--- a/libs/duties/tests/DutyModel.cpp
+++ b/libs/duties/tests/DutyModel.cpp
@@ -203,7 +203,7 @@
             // Where they differed by more, a holder that acquired, acted and lost its number to a
             // restore before any other process saw the number could have its number given out
             // again.
-            const UnixMillis clock(world.now + number);
+            const UnixMillis clock(world.now + m_limits.clockStep * number);
             process.call = PendingCall { isRenewal, world.now,
                 isRenewal ? process.lease.fencingNumber().value()
                           : process.lease.nextFencingNumber(clock).value(),
--- a/libs/duties/tests/DutyModel.h
+++ b/libs/duties/tests/DutyModel.h
@@ -16,6 +16,8 @@
     int restarts = 1;
     /** Calls whose execution or response is late. */
     int lateCalls = 1;
+    /** By which the true-time estimates of two processes differ; the lease time is three units. */
+    int clockStep = 1;
 };
 
 /** What the exploration found. */
