Duties, admission and slow callers: findings of the review

Change: posts have 4 s, leave only while the lease lasts for their delivery, and are cancelled when it does not; an early repeat is refused only when it cannot be served in time; a request with a booked turn is not refused; each prompt counts once; an attempt that was paused is no crash.

--- a/apps/gateway/DutyRunnerUsage.cpp
+++ b/apps/gateway/DutyRunnerUsage.cpp
@@ -17,7 +17,10 @@
     constexpr std::string_view DoneKey = "citronspoke/duties/usage/sent";
 
     constexpr Milliseconds CallTimeout { 1000 };
-    constexpr Milliseconds PostTimeout { 1000 };
+    /** The platform's API may be slow; a report is due some seconds after it was recorded. */
+    constexpr Milliseconds PostTimeout { 4000 };
+    /** Connecting, and the time for which the kernel sends lost packets again. */
+    constexpr Milliseconds PostDeliveryTime { 900 };
     constexpr Milliseconds RetryInterval { 300 };
     /** Several records share a lease, since each call is billed. */
     constexpr Milliseconds RecordLeaseUse { 60000 };
@@ -111,8 +114,11 @@
             release();
         return;
     }
-    if (!mayAct())
+    if (!mayAct()) {
+        // The request may not have been sent yet, and the duties may be another gateway's by then.
+        m_post.reset();
         return;
+    }
     if (!m_schedule.doneThrough()) {
         const UnixMillis startedAt(trueTime.value() - (now() - m_startedAt).count());
         const duties::WindowNumber own
@@ -125,7 +131,7 @@
     if (toRecord && !m_recordCall && now() >= m_recordAt)
         record(*toRecord);
     const std::optional<duties::WindowNumber> toPost = m_schedule.windowToPost(now());
-    if (toPost && !m_post)
+    if (toPost && !m_post && m_lease.mayAct(now() + PostDeliveryTime))
         post(*toPost);
 }
 
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -90,6 +90,9 @@
         bool hasAnswerBegun = false;
         /** Its body is streamed to the caller as it arrives. */
         bool isRelayed = false;
+        /** The target was not read for a time because the caller reads too slowly; targets cut off
+         * responses that nobody reads. */
+        bool wasPaused = false;
         /** Expected engine time and wait of a prefill, in deployments with organisations. */
         shares::EngineMilliseconds engineTime = 0;
         Milliseconds expectedWait { 0 };
@@ -279,8 +282,9 @@
     /** A declaration in force since the request arrived has organisations, so targets get the
      * organisation in place of the key. */
     bool m_hidesKey = false;
-    /** As of the last placement of its prompt. */
     bool m_isOverShare = false;
+    /** Its prompt was counted against the share of its organisation. */
+    bool m_isClassified = false;
     SteadyTime m_deadline;
     channels::Timer m_deadlineTimer;
     std::unique_ptr<Attempt> m_attempt;
--- a/apps/gateway/RequestHandlerAdmission.cpp
+++ b/apps/gateway/RequestHandlerAdmission.cpp
@@ -39,12 +39,14 @@
     const SteadyTime now = steadyNow();
     const double engineTime = millisecondsOf(
         m_context.prefillSpeeds[m_pool->id].estimate(ownTokens(*m_callerInfo.prompt)));
-    if (m_attempts == 0)
-        shares->use.noteWanted(m_organisation, engineTime, now);
     goal.isDividedByShares = shares->fairShares.isShort(now);
-    goal.isOverShare = shares->fairShares.classifyOver(m_organisation, engineTime, now);
+    // A request that waits for a turn is placed more than once but counts once.
+    if (!std::exchange(m_isClassified, true)) {
+        shares->use.noteWanted(m_organisation, engineTime, now);
+        m_isOverShare = shares->fairShares.classifyOver(m_organisation, engineTime, now);
+    }
+    goal.isOverShare = m_isOverShare;
     goal.isReturning = shares->admission.isReturning(fingerprint(), now);
-    m_isOverShare = goal.isOverShare;
     return goal;
 }
 
@@ -73,6 +75,9 @@
     // A stream that has begun, here or elsewhere, goes on; what may have run cannot be refused.
     if (m_hasBegunResponse || m_lastEventId || !m_ranOn.empty())
         return false;
+    // Its turn at the target would be lost for others.
+    if (m_isTurnBooked)
+        return false;
     const SteadyTime now = steadyNow();
     const shares::AdmissionRequest request { fingerprint(), priority(), wait, duration, timeLeft(),
         m_isOverShare };
--- a/apps/gateway/RequestHandlerQuarantine.cpp
+++ b/apps/gateway/RequestHandlerQuarantine.cpp
@@ -50,7 +50,7 @@
     const bool isBrokenOff = outcome == Outcome::Unknown
         && (end == channels::ExchangeEnd::Broken
             || m_attempt->head->framing == http1::BodyFraming::UntilClose);
-    if (isBrokenOff) {
+    if (isBrokenOff && !m_attempt->wasPaused) {
         m_context.crashQuarantine.notePossibleCrash(fingerprint(), m_attempt->target);
         if (!m_attempt->hasAnswerBegun)
             m_context.partQuarantine.noteBroken(
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -171,8 +171,10 @@
     }
     if (!whole.empty())
         m_writer->writeBody(whole);
-    if (m_writer->isFull())
+    if (m_writer->isFull()) {
+        m_attempt->wasPaused = true;
         m_attempt->exchange->setReading(false);
+    }
 }
 
 void RequestHandler::continueRelay()
--- a/libs/shares/src/Admission.cpp
+++ b/libs/shares/src/Admission.cpp
@@ -51,21 +51,25 @@
     expire(now);
     const bool returns = isReturning(request.fingerprint, now);
     const auto known = m_returns.find(request.fingerprint);
-    if (known != m_returns.end() && !returns && !state.isIdle()) {
-        // Callers that repeat at once would get the places of those that wait as they were told.
-        return std::clamp(std::chrono::duration_cast<Milliseconds>(known->second.at - now),
-            Milliseconds(0), std::max(Milliseconds(0), request.timeLeft / RetryAfterDivisor));
-    }
-    if (known != m_returns.end())
-        m_returns.erase(known);
-    if (state.isIdle())
+    if (state.isIdle()) {
+        if (known != m_returns.end())
+            m_returns.erase(known);
         return std::nullopt;
+    }
     const Milliseconds reserved = returns ? Milliseconds(0) : reservedTime(request, engines, now);
     AdmissionRequest expected = request;
     expected.wait = Milliseconds(static_cast<int64_t>(static_cast<double>(request.wait.count())
         * m_waitFactors[rankOf(request.priority, request.isOverShare)]));
-    if (isInTime(expected, reserved))
+    if (isInTime(expected, reserved)) {
+        if (returns)
+            m_returns.erase(known);
         return std::nullopt;
+    }
+    if (known != m_returns.end() && !returns) {
+        // A caller that repeats at once gets no earlier place than it was told.
+        return std::clamp(std::chrono::duration_cast<Milliseconds>(known->second.at - now),
+            Milliseconds(0), std::max(Milliseconds(0), request.timeLeft / RetryAfterDivisor));
+    }
     const Milliseconds wait = returnTime(expected, draw);
     if (m_returns.size() < MaxReturns)
         m_returns[request.fingerprint] = { now + wait, request.priority, request.duration };
