--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -49,7 +49,7 @@
 
 std::string GatewayFixture::declarationText(int version) const
 {
-    const std::string text = fakes::declarationText(version, m_routes);
+    std::string text = fakes::declarationText(version, m_routes);
     if (m_organisations.is_null())
         return text;
     nlohmann::json document = nlohmann::json::parse(text);
--- a/libs/balance/tests/EngineChoiceTests.cpp
+++ b/libs/balance/tests/EngineChoiceTests.cpp
@@ -81,8 +81,10 @@
 {
     size_t before = 1;
     for (const double age : { 20.0, 100.0, 500.0 }) {
+        constexpr int Engines = 40;
         std::vector<Candidate> candidates;
-        for (int index = 0; index < 40; ++index)
+        candidates.reserve(Engines);
+        for (int index = 0; index < Engines; ++index)
             candidates.push_back(candidate(40 + 25 * index, age));
         const std::vector<double> parts = chosenParts(candidates, { 10, 40 });
         const size_t used = static_cast<size_t>(
--- a/libs/dispatch/tests/EvenLoadTests.cpp
+++ b/libs/dispatch/tests/EvenLoadTests.cpp
@@ -98,7 +98,7 @@
 {
     View view(40);
     for (int engine = 0; engine < 40; ++engine)
-        view.loadOfPeer(engine, 500 * (1 + engine));
+        view.loadOfPeer(engine, uint64_t { 500 } * static_cast<uint64_t>(1 + engine));
     view.even.own.note(20, Now);
     const fleet::Prompt each = prompt(0, 400);
     cr_expect_eq(view.enginesUsed(each), 1U);
--- a/libs/shares/tests/ShareSimulation.cpp
+++ b/libs/shares/tests/ShareSimulation.cpp
@@ -165,7 +165,7 @@
                                                                     : 2;
             if (isShort)
                 sizeClass = isOver ? 2 : isReturning ? 0 : std::min<size_t>(sizeClass, 1);
-            return kind.priority * 3 + sizeClass;
+            return size_t { kind.priority } * 3 + sizeClass;
         }
 
         void handle(Request request)
