Review, case 2: gateways end by std::bad_alloc after an outage of the store

Claim: sendPrefill goes on with pointers to targets that allInPool() has erased, when the grace after an outage of the store ends in between; gateways end and cut requests that sound engines run (LOST). Shown by review/2/run.sh with four gateways, 840 model engines of which a quarter crashes, and one application engine; the address sanitizer reports heap-use-after-free at that place.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,7 +6,7 @@
 gateway=$(sed -n '/^\[roles.gateway\]/,/^$/s/^run = "\(.*\)"$/\1/p' deploy/system.toml)
 [ -x "$gateway" ] && [ -x review/build/case-2 ] || exit 2
 folder=$(mktemp -d) || exit 2
-timeout -k 5 100 review/build/case-2 "$gateway" "$folder" review/2/record.txt
+timeout -k 5 115 review/build/case-2 "$gateway" "$folder" review/2/record.txt
 status=$?
 rm -rf "$folder"
 [ "$status" -le 1 ] || exit 2
--- a/review/common/Http.cpp
+++ b/review/common/Http.cpp
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <chrono>
 #include <cstring>
+#include <random>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -26,22 +27,6 @@
         return address;
     }
 
-    /** @param port 0 for a free one; receives the port. */
-    int listenOn(uint16_t& port)
-    {
-        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const int reuse = 1;
-        setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
-        sockaddr_in address = loopback(port);
-        socklen_t size = sizeof address;
-        if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) != 0
-            || listen(descriptor, SOMAXCONN) != 0)
-            std::abort();
-        getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-        port = ntohs(address.sin_port);
-        return descriptor;
-    }
-
     bool sendAll(int descriptor, std::string_view bytes)
     {
         while (!bytes.empty()) {
@@ -128,6 +113,47 @@
 
 } // namespace
 
+int tryListenOn(uint16_t& port)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int reuse = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    sockaddr_in address = loopback(port);
+    socklen_t size = sizeof address;
+    if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) != 0
+        || listen(descriptor, SOMAXCONN) != 0) {
+        ::close(descriptor);
+        return -1;
+    }
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    port = ntohs(address.sin_port);
+    return descriptor;
+}
+
+int listenOn(uint16_t& port)
+{
+    const int descriptor = tryListenOn(port);
+    if (descriptor < 0)
+        std::abort();
+    return descriptor;
+}
+
+std::optional<Request> takeRequest(std::string& received)
+{
+    const size_t headEnd = received.find(HeadEnd);
+    if (headEnd == std::string::npos)
+        return std::nullopt;
+    const std::string head = received.substr(0, headEnd + 2);
+    const size_t bodyStart = headEnd + HeadEnd.size();
+    const size_t whole = bodyStart + numberIn(fieldOf(head, "Content-Length"));
+    if (received.size() < whole)
+        return std::nullopt;
+    Request request = parseHead(head);
+    request.body = received.substr(bodyStart, whole - bodyStart);
+    received.erase(0, whole);
+    return request;
+}
+
 std::string Request::field(std::string_view name) const
 {
     for (const auto& [known, value] : fields) {
@@ -212,19 +238,9 @@
     std::array<char, 16384> buffer {};
     std::string pending;
     while (true) {
-        const size_t headEnd = pending.find(HeadEnd);
-        if (headEnd != std::string::npos) {
-            const std::string head = pending.substr(0, headEnd + 2);
-            const size_t whole
-                = headEnd + HeadEnd.size() + numberIn(fieldOf(head, "Content-Length"));
-            if (pending.size() >= whole) {
-                Request request = parseHead(head);
-                request.body
-                    = pending.substr(headEnd + HeadEnd.size(), whole - headEnd - HeadEnd.size());
-                pending.erase(0, whole);
-                m_handler(request, connection);
-                continue;
-            }
+        if (const std::optional<Request> request = takeRequest(pending)) {
+            m_handler(*request, connection);
+            continue;
         }
         const ssize_t size = recv(descriptor, buffer.data(), buffer.size(), 0);
         if (size <= 0)
@@ -307,9 +323,19 @@
 
 uint16_t pickPort()
 {
-    uint16_t port = 0;
-    ::close(listenOn(port));
-    return port;
+    // Below the ports that the operating system gives to outgoing channels, which would take it.
+    constexpr uint16_t First = 12000;
+    constexpr uint16_t Last = 29999;
+    std::random_device random;
+    std::uniform_int_distribution<uint16_t> ports(First, Last);
+    while (true) {
+        uint16_t port = ports(random);
+        const int descriptor = tryListenOn(port);
+        if (descriptor < 0)
+            continue;
+        ::close(descriptor);
+        return port;
+    }
 }
 
 } // namespace review
--- a/review/common/Http.h
+++ b/review/common/Http.h
@@ -110,6 +110,12 @@
     int m_descriptor = -1;
 };
 
+/** Removes the first whole request from the bytes of a channel. @return none if there is none. */
+std::optional<Request> takeRequest(std::string& received);
+/** @param port 0 for a free one; receives the port. @return a listening loopback socket, or -1. */
+int tryListenOn(uint16_t& port);
+/** As tryListenOn(), where a failure is an error of the test. */
+int listenOn(uint16_t& port);
 /** @return a loopback port that is free now. */
 uint16_t pickPort();
 
