--- a/review/1/Scenario.cpp
+++ b/review/1/Scenario.cpp
@@ -52,9 +52,12 @@
     void run()
     {
         std::optional<ClientConnection> connection;
+        bool isKept = false;
         for (size_t number = 1; !m_isStopping; ++number) {
-            if (!connection || !connection->isOpen())
+            if (!connection || !connection->isOpen()) {
                 connection.emplace(m_gateway, 0);
+                isKept = false;
+            }
             const std::string attempt = m_name + "-" + std::to_string(number);
             const std::string text = requestText(attempt, DeadlineMs, "dispatch " + attempt);
             if (!connection->isOpen() || !connection->send(text)) {
@@ -69,8 +72,9 @@
                                        : " not answered: the channel was " + response.end));
             if (response.status == 200 && response.isComplete)
                 m_served += 1;
-            else if (!response.isComplete && m_ledger.runs(attempt) > 0)
+            else if (!response.isComplete && isKept && m_ledger.runs(attempt) > 0)
                 m_cuts += 1;
+            isKept = response.isComplete;
         }
     }
 
