--- a/review/1/Scenario.cpp
+++ b/review/1/Scenario.cpp
@@ -12,12 +12,12 @@
 using std::chrono::milliseconds;
 
 constexpr size_t Gateways = 2;
-constexpr size_t Engines = 2;
-constexpr size_t ClientsPerGateway = 4;
+constexpr size_t Engines = 4;
+constexpr size_t ClientsPerGateway = 10;
 /** How long an engine works on a request. */
 constexpr milliseconds WorkTime { 200 };
 constexpr milliseconds CalmTime { 5000 };
-constexpr milliseconds TroubledTime { 15000 };
+constexpr milliseconds TroubledTime { 12000 };
 /** "restarted after a short delay" */
 constexpr milliseconds RestartDelay { 500 };
 /** The rule allows so many channels that are closed without an answer. */
