Retry budget: log and count what retries are charged

What callers saw: nothing changes for them.

Cause: the log showed that the budget refused a retry, but neither its state nor what an allowed retry was charged, so that a process which has forgotten its retries, sends that are not charged and a wrong number of gateways look the same. Change: the line "Asked the retry budget." with the state of the budget for each retry that needs a send, and the counter retry_sends by pool and result.

--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -236,6 +236,9 @@
      * @param retryBlocker set to the reason against a retry when there is one.
      */
     bool mayRetry(uint32_t sends, std::string_view& retryBlocker);
+    /** @return whether the retry budget covers a retry with this many sends, which it then has
+     * paid. */
+    bool spendRetryBudget(uint32_t sends);
     void onDeadline();
 
     void refuse(uint32_t status, std::string_view cause, Milliseconds retryAfter);
--- a/apps/gateway/RequestHandlerOutcomes.cpp
+++ b/apps/gateway/RequestHandlerOutcomes.cpp
@@ -72,11 +72,30 @@
         retryBlocker = "no other target has the version that began the stream";
     else if (timeLeft() < MinAttemptTime)
         retryBlocker = "too little time left";
-    else if (sends > 0 && !m_context.retryBudget.trySpend(m_pool->id, sends, steadyNow()))
+    else if (!spendRetryBudget(sends))
         retryBlocker = "the retry budget is spent";
     return retryBlocker.empty();
 }
 
+bool RequestHandler::spendRetryBudget(uint32_t sends)
+{
+    if (sends == 0)
+        return true;
+    const SteadyTime now = steadyNow();
+    const dispatch::RetryBudget::Balance balance = m_context.retryBudget.balance(m_pool->id, now);
+    const bool isCovered = m_context.retryBudget.trySpend(m_pool->id, sends, now);
+    telemetry::logInfo("request", "Asked the retry budget.",
+        { { "id", m_callerInfo.attempt.text() }, { "pool", m_pool->id.text() },
+            { "sends", std::to_string(sends) }, { "covered", isCovered ? "yes" : "no" },
+            { "available", std::to_string(balance.available) },
+            { "requests", std::to_string(balance.requests) },
+            { "gateways", std::to_string(balance.entries) },
+            { "process_age_ms", std::to_string(balance.processAge.count()) } });
+    telemetry::count("retry_sends",
+        { { "pool", m_pool->id.text() }, { "result", isCovered ? "charged" : "refused" } }, sends);
+    return isCovered;
+}
+
 void RequestHandler::onDeadline()
 {
     if (m_isOver)
--- a/libs/dispatch/include/dispatch/RetryBudget.h
+++ b/libs/dispatch/include/dispatch/RetryBudget.h
@@ -22,6 +22,17 @@
         Milliseconds window { 10000 };
     };
 
+    /** State of a pool's budget, for the log. */
+    struct Balance {
+        /** Sends of retries that the budget covers now. */
+        double available = 0;
+        /** Requests that the budget counts. */
+        size_t requests = 0;
+        /** Entries that share the fixed part; 0 while unknown. */
+        uint32_t entries = 0;
+        Milliseconds processAge { 0 };
+    };
+
     /**
      * @param start of this process. The fixed part grows to its full size over the first window,
      *        because a previous process may just have spent it.
@@ -38,6 +49,8 @@
      * @return false when the budget does not cover them; the retry must not be made.
      */
     bool trySpend(const PoolId& pool, uint32_t sends, SteadyTime now);
+    /** @return the state of a pool's budget. */
+    Balance balance(const PoolId& pool, SteadyTime now);
 
 private:
     struct History {
--- a/libs/dispatch/src/RetryBudget.cpp
+++ b/libs/dispatch/src/RetryBudget.cpp
@@ -50,6 +50,15 @@
     return true;
 }
 
+RetryBudget::Balance RetryBudget::balance(const PoolId& pool, SteadyTime now)
+{
+    History& history = m_pools[pool];
+    dropExpired(history, now);
+    return { allowedRetries(history, now) - static_cast<double>(history.retries.size()),
+        history.requests.size(), m_entries,
+        std::chrono::duration_cast<Milliseconds>(now - m_start) };
+}
+
 void RetryBudget::dropExpired(History& history, SteadyTime now) const
 {
     for (std::deque<SteadyTime>* times : { &history.requests, &history.retries }) {
