Retry budget: credit that a restart cannot renew

Cause: a process could spend the share of all requests that it remembered. A restarted one has spent nothing, and its new requests counted at once, while the retries of the process before were still in the window. Callers who move to another gateway have the same effect. Change: half of the limit is earned by requests and with time, the other half is the most unused credit that is kept, and a process starts without. Retries in a window are those earned in it and those kept at its beginning, so a restart only loses credit.

--- a/libs/dispatch/include/dispatch/RetryBudget.h
+++ b/libs/dispatch/include/dispatch/RetryBudget.h
@@ -8,9 +8,12 @@
 namespace citronspoke::dispatch {
 
 /**
- * Retry budget: this entry's part of the retries that all entries together may make. It is a share
- * of the entry's own requests plus an even part of a fixed number of retries, within a sliding
- * window, for each pool.
+ * Retry budget: this entry's part of the retries that all entries together may make in a sliding
+ * window, for each pool. The limit is a share of the requests plus a fixed number. One half of it
+ * is earned, by each request and with time; the other half is the most unused credit that is kept.
+ * A process starts without credit. So the retries in a window are at most those that were earned in
+ * it and those that had been kept, which belong to the requests of the window before, although
+ * processes start again without memory and callers move from one entry to another.
  */
 class RetryBudget {
 public:
@@ -33,10 +36,7 @@
         Milliseconds processAge { 0 };
     };
 
-    /**
-     * @param start of this process. The fixed part grows to its full size over the first window,
-     *        because a previous process may just have spent it.
-     */
+    /** @param start of this process. A previous one may just have spent all that it had. */
     RetryBudget(const Limits& limits, SteadyTime start);
     /** @param entries number of running entries; there is no fixed part while it is 0. */
     void updateEntries(uint32_t entries);
@@ -53,18 +53,23 @@
     Balance balance(const PoolId& pool, SteadyTime now);
 
 private:
-    struct History {
+    struct Credit {
+        /** Arrivals within the last window. */
         std::deque<SteadyTime> requests;
-        std::deque<SteadyTime> retries;
-    };
-    void dropExpired(History& history, SteadyTime now) const;
+        double fromRequests = 0;
+        double fromFixedPart = 0;
+        SteadyTime updatedAt;
 
-    double allowedRetries(const History& history, SteadyTime now) const;
+        double available() const noexcept { return fromRequests + fromFixedPart; }
+    };
+    /** @return the credit of a pool, brought up to date. */
+    Credit& updateCredit(const PoolId& pool, SteadyTime now);
+    double keptRequestCredit(const Credit& credit) const;
 
     Limits m_limits;
     SteadyTime m_start;
     uint32_t m_entries = 0;
-    std::map<PoolId, History> m_pools;
+    std::map<PoolId, Credit> m_pools;
 };
 
 } // namespace citronspoke::dispatch
--- a/libs/dispatch/src/RetryBudget.cpp
+++ b/libs/dispatch/src/RetryBudget.cpp
@@ -6,9 +6,12 @@
 
 namespace {
 
-    /** Keeps the retries below the limit although the windows of entries and targets do not begin
-     * and end at the same moment. */
+    /** Keeps the retries below the limit although a retry may reach its target in a later window
+     * than that in which it was charged. */
     constexpr double SafetyFactor = 0.9;
+    /** Part of the limit that is earned; the rest is the most that is kept. */
+    constexpr double EarnedPart = 0.5;
+    constexpr double KeptPart = 1 - EarnedPart;
 
 } // namespace
 
@@ -18,53 +21,54 @@
 {
 }
 
-double RetryBudget::allowedRetries(const History& history, SteadyTime now) const
-{
-    double retries = m_limits.share * static_cast<double>(history.requests.size());
-    if (m_entries > 0) {
-        const std::chrono::duration<double> age = now - m_start;
-        const std::chrono::duration<double> window = m_limits.window;
-        retries += m_limits.fixedPart / m_entries * std::clamp(age / window, 0.0, 1.0);
-    }
-    return SafetyFactor * retries;
-}
-
 void RetryBudget::updateEntries(uint32_t entries) { m_entries = entries; }
 
 void RetryBudget::updateLimits(const Limits& limits) { m_limits = limits; }
 
 void RetryBudget::noteRequest(const PoolId& pool, SteadyTime now)
 {
-    History& history = m_pools[pool];
-    dropExpired(history, now);
-    history.requests.push_back(now);
+    Credit& credit = updateCredit(pool, now);
+    credit.requests.push_back(now);
+    const double earned = SafetyFactor * EarnedPart * m_limits.share;
+    credit.fromRequests = std::min(credit.fromRequests + earned, keptRequestCredit(credit));
 }
 
 bool RetryBudget::trySpend(const PoolId& pool, uint32_t sends, SteadyTime now)
 {
-    History& history = m_pools[pool];
-    dropExpired(history, now);
-    if (static_cast<double>(history.retries.size() + sends) > allowedRetries(history, now))
+    Credit& credit = updateCredit(pool, now);
+    if (credit.available() < sends)
         return false;
-    history.retries.insert(history.retries.end(), sends, now);
+    const double spentRequestCredit = std::min<double>(credit.fromRequests, sends);
+    credit.fromRequests -= spentRequestCredit;
+    credit.fromFixedPart -= sends - spentRequestCredit;
     return true;
 }
 
 RetryBudget::Balance RetryBudget::balance(const PoolId& pool, SteadyTime now)
 {
-    History& history = m_pools[pool];
-    dropExpired(history, now);
-    return { allowedRetries(history, now) - static_cast<double>(history.retries.size()),
-        history.requests.size(), m_entries,
+    const Credit& credit = updateCredit(pool, now);
+    return { credit.available(), credit.requests.size(), m_entries,
         std::chrono::duration_cast<Milliseconds>(now - m_start) };
 }
 
-void RetryBudget::dropExpired(History& history, SteadyTime now) const
+RetryBudget::Credit& RetryBudget::updateCredit(const PoolId& pool, SteadyTime now)
+{
+    Credit& credit = m_pools.try_emplace(pool, Credit { {}, 0, 0, m_start }).first->second;
+    while (!credit.requests.empty() && now - credit.requests.front() > m_limits.window)
+        credit.requests.pop_front();
+    credit.fromRequests = std::min(credit.fromRequests, keptRequestCredit(credit));
+    const double fixedPart = m_entries > 0 ? SafetyFactor * m_limits.fixedPart / m_entries : 0;
+    const std::chrono::duration<double> elapsed = now - credit.updatedAt;
+    const std::chrono::duration<double> window = m_limits.window;
+    credit.fromFixedPart = std::min(
+        credit.fromFixedPart + EarnedPart * fixedPart * (elapsed / window), KeptPart * fixedPart);
+    credit.updatedAt = now;
+    return credit;
+}
+
+double RetryBudget::keptRequestCredit(const Credit& credit) const
 {
-    for (std::deque<SteadyTime>* times : { &history.requests, &history.retries }) {
-        while (!times->empty() && now - times->front() > m_limits.window)
-            times->pop_front();
-    }
+    return SafetyFactor * KeptPart * m_limits.share * static_cast<double>(credit.requests.size());
 }
 
 } // namespace citronspoke::dispatch
