--- a/libs/fleet/src/Fleet.cpp
+++ b/libs/fleet/src/Fleet.cpp
@@ -1,10 +1,22 @@
 #include "fleet/Fleet.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <charconv>
 
 namespace citronspoke::fleet {
 
+namespace {
+
+    bool isIp(const std::string& text)
+    {
+        in6_addr bytes {};
+        return inet_pton(AF_INET, text.c_str(), &bytes) == 1
+            || inet_pton(AF_INET6, text.c_str(), &bytes) == 1;
+    }
+
+} // namespace
+
 std::optional<Address> parseAddress(std::string_view text)
 {
     const size_t colon = text.rfind(':');
@@ -12,6 +24,9 @@
         return std::nullopt;
     Address address;
     address.ip = text.substr(0, colon);
+    // Text may contain a zero byte, at which the check would end.
+    if (address.ip.find('\0') != std::string::npos || !isIp(address.ip))
+        return std::nullopt;
     const std::string_view port = text.substr(colon + 1);
     const std::from_chars_result result
         = std::from_chars(port.data(), port.data() + port.size(), address.port);
