Responses that name no request, or an earlier attempt, are not taken for a request's own

What callers saw: "not run, try again" for requests that a target was running, after a target had written an earlier refusal once more on a persistent connection; such a request then ran at a second target.

Cause: a response that names no attempt counted as that to the request that was sent last, also on a connection that earlier requests had used. And the second attempt of one request at a target may use the connection of its first one, where both responses name the same attempt. Change: on a reused connection a response that names no attempt is skipped, like one that names another; each skipped one is logged and counted. A second attempt of a request at a target uses a new connection. Evidence: repeated_refusals/that_name_no_request... was answered 503 while the target served the request, and .../of_an_earlier_attempt... 502; a refusal that names another request was skipped before, too.

--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -297,11 +297,15 @@
     const dispatch::TargetState* state = m_context.directory.find(target.id);
     // A target that has just failed may be gone; a new connection shows it before anything is sent.
     const bool isSuspect = state && state->consecutiveFailures > 0;
-    const Milliseconds maxIdle = isSuspect ? Milliseconds(0) : MaxFreshIdleTime;
+    // A copy of the response to the first attempt would look like that to the second one.
+    const bool isSecondAttempt = !m_targetsSentTo.insert(target.id).second;
+    Milliseconds maxIdle = isRepeatable ? AnyIdleTime : MaxFreshIdleTime;
+    if (isSecondAttempt || (isSuspect && !isRepeatable))
+        maxIdle = Milliseconds(0);
     m_attempt->exchange = m_context.targetConnections.start({ target.address, target.id.text() },
         adapter::composeTargetRequest(m_request.head, fields, m_request.body.size())
             + m_request.body,
-        isRepeatable ? AnyIdleTime : maxIdle, std::move(handlers));
+        maxIdle, std::move(handlers));
     telemetry::logInfo("request", "Sent.",
         { { "id", m_callerInfo.attempt.text() }, { "attempt", std::to_string(m_attempts) },
             { "step", std::string(stepName(step)) }, { "target", target.id.text() },
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -308,6 +308,7 @@
     std::set<TargetId> m_lostResponses;
     /** Targets that should get no further attempt. */
     std::set<TargetId> m_excludedTargets;
+    std::set<TargetId> m_targetsSentTo;
     /** Forwarded to the caller when no other target serves the request. */
     std::optional<TargetFailure> m_targetFailure;
     std::optional<uint64_t> m_lastEventId;
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -40,8 +40,16 @@
 bool RequestHandler::isOwnResponse(const http1::ResponseHead& head) const
 {
     const adapter::ResponseInfo info = adapter::decodeResponseHead(head);
-    if (info.attempt.empty() || info.attempt == m_callerInfo.attempt)
+    if (info.attempt == m_callerInfo.attempt)
         return true;
+    // Targets name the attempt in their responses. On a reused connection, a response that names
+    // none may be a copy of an earlier one.
+    if (info.attempt.empty() && !m_attempt->exchange->isReused())
+        return true;
+    telemetry::logWarning("request", "Skipped a response to another request.",
+        { { "id", m_callerInfo.attempt.text() }, { "target", m_attempt->target.id.text() },
+            { "response_to", info.attempt.text() }, { "status", std::to_string(head.status) } });
+    telemetry::count("skipped_responses");
     // A late response to another request states the target's condition too.
     m_context.noteNotice(m_attempt->target, info.notice, info.attempt);
     return false;
--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -147,6 +147,8 @@
     virtual void setReading(bool isReading) = 0;
     /** @return whether request bytes may have reached the target. */
     virtual bool isSent() const noexcept = 0;
+    /** @return whether the connection carried earlier exchanges. */
+    virtual bool isReused() const noexcept = 0;
 };
 using ExchangePointer = std::shared_ptr<Exchange>;
 
--- a/libs/channels/src/ConnectionPool.cpp
+++ b/libs/channels/src/ConnectionPool.cpp
@@ -75,10 +75,11 @@
 
         ~PooledExchange() override { cancel(); }
 
-        void begin(PooledPointer pooled, std::string request, bool isConnected)
+        void begin(PooledPointer pooled, std::string request)
         {
             m_pooled = std::move(pooled);
-            m_isConnected = isConnected;
+            m_isReused = m_pooled->isReused;
+            m_isConnected = m_isReused;
             const std::weak_ptr<PooledExchange> weak = weak_from_this();
             Connection::Handlers handlers;
             handlers.onConnected = [weak] {
@@ -111,6 +112,7 @@
         }
 
         bool isSent() const noexcept override { return m_isConnected; }
+        bool isReused() const noexcept override { return m_isReused; }
 
     private:
         void onBytes(std::string_view bytes)
@@ -226,6 +228,7 @@
         PooledPointer m_pooled;
         std::optional<Milliseconds> m_keepAliveTimeout;
         size_t m_skipped = 0;
+        bool m_isReused = false;
         bool m_isConnected = false;
         /** The head of the response to this request was received. */
         bool m_hasHead = false;
@@ -316,14 +319,13 @@
     const std::shared_ptr<PooledExchange> exchange
         = std::make_shared<PooledExchange>(m_implementation, peer, std::move(handlers));
     PooledPointer pooled = m_implementation->takeIdle(peer, maxIdleAge);
-    const bool isReused = pooled != nullptr;
-    if (!isReused) {
+    if (!pooled) {
         pooled = std::make_shared<PooledConnection>();
         pooled->connection = connect(
             m_implementation->loop, peer.address, m_implementation->options.connectTimeout);
         m_implementation->openedCount += 1;
     }
-    exchange->begin(std::move(pooled), std::move(request), isReused);
+    exchange->begin(std::move(pooled), std::move(request));
     return exchange;
 }
 
