Streams: a gateway that the others do not reply to cannot tell the only version

What callers saw: streams that had begun at engines of a new version went on at an engine of another version, at a gateway that had been cut off from the others or had stood still while these engines joined.

Cause: without a record of the stream, a gateway took the only version that it knew for the only one that served, if it had contact with the store within the last seconds, whether or not any other gateway replied. A resume that names no earlier attempt asked no other gateway at all. Change: the others are always asked, and most of them must reply; all, where none has contact with the store. A gateway that knows no other one needs contact with the store only.

--- a/apps/gateway/StreamRegistry.cpp
+++ b/apps/gateway/StreamRegistry.cpp
@@ -103,8 +103,7 @@
 {
     Resume resume = request;
     // A caller that sends its first attempt again does not name it.
-    const bool isSameAttempt = resume.firstAttempt.empty();
-    if (isSameAttempt)
+    if (resume.firstAttempt.empty())
         resume.firstAttempt = resume.attempt;
     if (const std::optional<SoftwareVersion> version = m_origins.find(resume.firstAttempt)) {
         const streams::Origin origin { streams::Origin::Basis::Record, *version };
@@ -112,15 +111,7 @@
         handler(origin);
         return nullptr;
     }
-    streams::VersionView own = m_versions.viewOf(resume.pool);
-    const streams::Origin ownOrigin
-        = streams::OriginSearch(own, { streams::QueriedGateways, 0 }).result();
-    if (isSameAttempt && ownOrigin.basis == streams::Origin::Basis::OnlyVersion) {
-        report(resume, ownOrigin, 0, Milliseconds(0));
-        handler(ownOrigin);
-        return nullptr;
-    }
-    return startSearch(resume, std::move(own), std::move(handler));
+    return startSearch(resume, m_versions.viewOf(resume.pool), std::move(handler));
 }
 
 std::shared_ptr<void> StreamRegistry::startSearch(
--- a/apps/gateway/tests/VersionTests.cpp
+++ b/apps/gateway/tests/VersionTests.cpp
@@ -150,6 +150,27 @@
     }
 }
 
+// Guards against a gateway that is cut off from the others while a version begins to serve, and
+// takes the one that it knows for the only one.
+Test(versions, a_gateway_without_replies_does_not_resume_an_unknown_stream)
+{
+    constexpr std::chrono::seconds Window { 15 };
+    VersionFixture fixture;
+    fixture.startWithFirstEngine(2);
+    fixture.hasBegun = true;
+    std::this_thread::sleep_for(Window + SettleTime);
+    // It no longer replies, and is still announced.
+    fixture.killGateway(0);
+    for (const std::string resumes : { "Resumes: a1\r\n", "" }) {
+        std::string lines = PromptLines;
+        lines.append("Last-Event-Id: 2\r\n").append(resumes);
+        Caller caller(fixture.callers(1));
+        caller.send(requestText("POST", "/s/x", "a" + std::to_string(resumes.size()), lines));
+        cr_expect_eq(caller.receive().status, 503U, "%s", resumes.c_str());
+    }
+    cr_assert_eq(fixture.seenBy("first-v1"), 0U);
+}
+
 // Guards against an engine that restarts under its id with another version before the gateway
 // learns of it.
 Test(versions, a_stream_does_not_go_on_at_an_engine_that_has_restarted_unnoticed)
--- a/libs/streams/include/streams/Streams.h
+++ b/libs/streams/include/streams/Streams.h
@@ -178,13 +178,14 @@
     size_t replies() const noexcept { return m_replied.size() + m_sidecarsReplied.size(); }
     /**
      * Without a record, a stream began at the only version when the views together show no other
-     * one: a view that covers the window, confirmed by contact with the store or by all gateways
-     * that were asked.
+     * one: a view that covers the window, confirmed by all gateways that were asked, or by most of
+     * them and contact with the store. A gateway that knows no other one needs contact only.
      */
     Origin result() const;
 
 private:
     bool haveGatewaysReplied() const noexcept { return m_replied.size() >= m_asked.gateways; }
+    bool isConfirmed() const noexcept;
 
     Asked m_asked;
     std::set<EntryId> m_replied;
--- a/libs/streams/src/OriginSearch.cpp
+++ b/libs/streams/src/OriginSearch.cpp
@@ -42,12 +42,21 @@
     return m_recorded || (haveGatewaysReplied() && m_sidecarsReplied.size() >= m_asked.sidecars);
 }
 
+bool OriginSearch::isConfirmed() const noexcept
+{
+    if (m_asked.gateways == 0)
+        return m_isConfirmed;
+    // A gateway that was cut off, or stood still, a moment ago still seems to be current: without
+    // the others it cannot tell whether a version has begun to serve since then.
+    const bool haveMostReplied = m_replied.size() * 2 > m_asked.gateways;
+    return haveGatewaysReplied() ? m_coversWindow : m_isConfirmed && haveMostReplied;
+}
+
 Origin OriginSearch::result() const
 {
     if (m_recorded)
         return { Origin::Basis::Record, *m_recorded };
-    const bool isConfirmed = m_isConfirmed || (m_coversWindow && haveGatewaysReplied());
-    if (m_versions.size() == 1 && isConfirmed)
+    if (m_versions.size() == 1 && isConfirmed())
         return { Origin::Basis::OnlyVersion, *m_versions.begin() };
     return {};
 }
