Tests of repeated refusals: one target, so that its connection is reused

Cause: repeated_refusals/that_name_no_request... failed once in a whole test run. By its log the first request went to the second of two targets, whose record was being removed, and the next one to the first target on a new connection, where a response that names no request is the request's own. Change: the fixture has one target, and the test asserts that it accepted one connection; the third test tells connections apart by the peer's port, since descriptors are given out again.

--- a/apps/gateway/tests/RepeatedResponseTests.cpp
+++ b/apps/gateway/tests/RepeatedResponseTests.cpp
@@ -2,6 +2,7 @@
 #include "GatewayFixture.h"
 
 #include <criterion/criterion.h>
+#include <netinet/in.h>
 
 using namespace citronspoke;
 using namespace citronspoke::gateway;
@@ -11,7 +12,7 @@
 
 namespace {
 
-/** Serves the first request; writes a refusal before the responses to later ones. */
+/** Serves requests; from the second one on, a refusal precedes the response. */
 GatewayFixture::Script refusalBeforeLaterResponses(std::function<void(http1::Headers&)> addFields)
 {
     const std::shared_ptr<std::atomic<int>> requests = std::make_shared<std::atomic<int>>(0);
@@ -30,14 +31,27 @@
 void assertServedOnce(const GatewayFixture::Script& script)
 {
     GatewayFixture fixture;
-    startTwoTargets(fixture, AtMostOnce, script);
-    fixture.store().remove("servers/two");
+    fixture.addRoute("/a/", Repeatable);
+    fixture.declare(1);
+    fixture.addTarget("only", "app", script);
+    fixture.start();
+    GatewayFixture::waitUntil([&] { return fixture.readiness() == 200; });
     Caller caller(fixture.callers());
     for (const char* attempt : { "a1", "a2", "a3" }) {
-        caller.send(requestText("POST", "/a/x", attempt));
+        caller.send(requestText("GET", "/a/x", attempt));
         cr_assert_eq(caller.receive().status, 200U, "%s", attempt);
     }
     cr_assert_eq(fixture.seen().size(), 3U);
+    cr_assert_eq(fixture.connectionsOfFirst(), 1U);
+}
+
+/** @return the peer's port, which no other open connection has. */
+int peerPort(const FakeConnection& connection)
+{
+    sockaddr_in address {};
+    socklen_t size = sizeof address;
+    getpeername(connection.descriptor(), reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
 }
 
 } // namespace
@@ -60,12 +74,12 @@
 {
     GatewayFixture fixture;
     std::atomic<int> decodes { 0 };
-    std::atomic<int> refusingConnection { -1 };
+    std::atomic<int> refusingPort { 0 };
     const GatewayFixture::Script script
         = [&](const FakeRequest& request, FakeConnection& connection) {
               switch (decodes++) {
               case 0:
-                  refusingConnection = connection.descriptor();
+                  refusingPort = peerPort(connection);
                   refuseNotExecuted(request, connection);
                   return;
               case 1: {
@@ -78,7 +92,7 @@
                   return;
               }
               default:
-                  if (connection.descriptor() == refusingConnection)
+                  if (peerPort(connection) == refusingPort)
                       refuseNotExecuted(request, connection);
                   sendEvents(request, connection, 1, 4);
                   connection.send(http1::LastChunk);
