--- a/tests/soak/RunHistory.cpp
+++ b/tests/soak/RunHistory.cpp
@@ -9,10 +9,25 @@
 {
 }
 
-void RunHistory::recordSent(const std::string& attempt, const std::string& gateway)
+void RunHistory::recordSent(
+    const std::string& attempt, const std::string& gateway, const std::string& pool)
 {
     std::lock_guard lock(m_mutex);
-    m_sent[attempt] = { gateway, steadyNow(), std::nullopt };
+    const SteadyTime now = steadyNow();
+    m_sent[attempt] = { gateway, now, std::nullopt };
+    m_retryLimit.recordRequest(pool, now);
+}
+
+void RunHistory::recordArrival(const std::string& attempt, const std::string& pool, bool isPrefill)
+{
+    std::lock_guard lock(m_mutex);
+    m_retryLimit.recordArrival(pool, attempt, isPrefill, steadyNow());
+}
+
+std::vector<RetryLimit::Use> RunHistory::retryUses() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_retryLimit.worstUses();
 }
 
 std::optional<RunHistory::SentAttempt> RunHistory::sent(const std::string& attempt) const
@@ -156,6 +171,12 @@
             if (result != m_results.end() && result->second == CallerResult::Refused)
                 found.emplace_back("refused", attempt + " was refused but ran at " + targets[0]);
         }
+        for (const RetryLimit::Use& use : m_retryLimit.worstUses()) {
+            if (static_cast<double>(use.retries) > use.allowed)
+                found.emplace_back("retries",
+                    std::to_string(use.retries) + " in a window at pool " + use.pool + ", allowed "
+                        + std::to_string(use.allowed));
+        }
     }
     for (const auto& [promise, detail] : found)
         recordViolation(promise, detail);
--- a/tests/soak/RunHistory.h
+++ b/tests/soak/RunHistory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "model/Model.h"
+#include "RetryLimit.h"
 
 #include <map>
 #include <mutex>
@@ -34,8 +34,13 @@
         /** None while the caller has no response. */
         std::optional<SteadyTime> answeredAt;
     };
-    /** Records that a caller sends an attempt. */
-    void recordSent(const std::string& attempt, const std::string& gateway);
+    /** Records that a caller sends an attempt. @param pool to which its route leads. */
+    void recordSent(
+        const std::string& attempt, const std::string& gateway, const std::string& pool);
+    /** Records that an attempt has reached a target, which may refuse it. */
+    void recordArrival(const std::string& attempt, const std::string& pool, bool isPrefill);
+    /** @return the largest use of the retry limit, for each pool. */
+    std::vector<RetryLimit::Use> retryUses() const;
     /** @return none when no caller has sent the attempt. */
     std::optional<SentAttempt> sent(const std::string& attempt) const;
     /** Records that a target began to run an attempt. */
@@ -84,7 +89,7 @@
     static constexpr Milliseconds ContactTime { 3000 };
     /** @param promise the violated guarantee, in one word. */
     void recordViolation(std::string_view promise, const std::string& detail);
-    /** Checks the at-most-once guarantee, once no request is in flight. */
+    /** Checks the at-most-once guarantee and the retry limit, once no request is in flight. */
     void checkAtEnd();
     /** @return one line for each violation, with the time since the start of the run. */
     std::vector<std::string> violations() const;
@@ -97,6 +102,7 @@
     std::map<std::string, std::vector<std::string>> m_runs;
     std::map<std::string, SentAttempt> m_sent;
     std::map<std::string, CallerResult> m_results;
+    RetryLimit m_retryLimit;
     std::vector<std::string> m_violations;
     /** What happened to requests with a part that crashes engines. */
     struct CrashingPart {
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -162,7 +162,7 @@
 {
     m_brokenStream.reset();
     const std::string attempt = nextAttempt(work);
-    m_history.recordSent(attempt, gateway.text());
+    m_history.recordSent(attempt, gateway.text(), isStream(work) ? "llm" : "app");
     CallerResult result = CallerResult::Broken;
     if (connectTo(gateway) && send(requestText(requestPath(work), attempt, isStream(work)))) {
         if (leavesEarly)
@@ -181,7 +181,7 @@
     const std::string attempt = nextAttempt(Work::Stream);
     const std::string lines = "Resumes: " + m_brokenStream->firstAttempt
         + "\r\nLast-Event-Id: " + std::to_string(m_brokenStream->lastEvent) + "\r\n";
-    m_history.recordSent(attempt, gateway.text());
+    m_history.recordSent(attempt, gateway.text(), "llm");
     CallerResult result = CallerResult::Broken;
     if (connectTo(gateway) && send(requestText(requestPath(Work::Stream), attempt, true, lines)))
         result = classify(attempt, Work::Stream, receive(), false);
@@ -195,7 +195,7 @@
 {
     const std::string attempt = nextAttempt(Work::Stream);
     const std::string parts = "5c1e:60," + part + ":30,own" + std::to_string(m_requests) + ":10";
-    m_history.recordSent(attempt, gateway.text());
+    m_history.recordSent(attempt, gateway.text(), "llm");
     if (connectTo(gateway)
         && send(requestText(requestPath(Work::Stream), attempt, true, {}, parts)))
         receive();
--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -56,7 +56,10 @@
         + quoted(pickAddress().text()) + "store = " + quoted(place.storeLink->address().text())
         + "sidecar_port = " + std::to_string(m_sidecarPort)
         + "\napply_time_ms = 2000\ndrain_time_ms = 2000\nlimit_notice_ms = 3000\nstop_grace_s = 8\n"
-          "retry_share = 0.2\nretry_fixed_part = 58\nretry_window_s = 10\n";
+          "retry_share = "
+        + std::to_string(RetryLimit::Share)
+        + "\nretry_fixed_part = " + std::to_string(RetryLimit::FixedPart) + "\nretry_window_s = "
+        + std::to_string(RetryLimit::Window / std::chrono::seconds(1)) + "\n";
     place.process = std::make_unique<SoakProcess>(name, m_options.programs + "/citronspoke-gateway",
         place.settings, m_options.folder, m_history);
     m_gateways.push_back(std::move(place));
--- a/tests/soak/SoakTarget.cpp
+++ b/tests/soak/SoakTarget.cpp
@@ -191,6 +191,8 @@
 bool SoakTarget::isRefused(const fakes::FakeRequest& request, fakes::FakeConnection& connection)
 {
     RunHistory& history = m_context.history;
+    const bool isPrefill = !request.field("X-Phase").empty();
+    history.recordArrival(attemptOf(request), poolOf(request.head.target), isPrefill);
     if (request.field("X-Expect-Instance") != m_id) {
         refuse(request, connection, Misdirected);
         return true;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -88,6 +88,8 @@
         for (const auto& [mode, resumes] : m_history.resumesByMode())
             text << ", while their version served and " << toText(mode) << " " << resumes.served
                  << " of " << resumes.all;
+        for (const RetryLimit::Use& use : m_history.retryUses())
+            text << ", most retries at " << use.pool << " " << use.retries << " of " << use.allowed;
         if (m_options.hasCrashingParts)
             text << ", engines crashed by prompt parts " << m_history.partCrashes();
         return text.str();
