Queries of targets erase none, so that a request's pointers stay valid

What callers saw: two seconds after an outage of the store during which engines were lost, gateways ended by std::bad_alloc; their connections closed without a response, also those of requests that a target was running.

Cause: usable() and allInPool() dropped the targets whose grace had ended. A request takes its candidates from several queries; when the grace ended between two of them, it went on with pointers to erased targets, and copied their addresses. The same order of queries stood in sendPrefill, sendWhole, decodeEngines, bookDecodeTurn, promptGoal and the emulator's gateway.

Change: queries are const and leave out what is gone; only put(), remove(), replaceAll() and expire() remove targets. The gateway calls expire() from a timer, so never between two queries of a request. The members of pools are kept up to date with the targets instead of being built by queries. A record that is held back after a restore counts up to 100 ms later than before. The check of such a record now calls expire() itself, and also asserts that it is not accepted a millisecond too early.

Evidence: directory/queries_keep_the_targets_that_earlier_queries_returned failed before: the target of the first query was not found after the second.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -10,6 +10,7 @@
     /** The load balancer probes once a second and removes a VM after two failed probes. */
     constexpr Milliseconds LoadBalancerReactionTime { 2600 };
     constexpr Milliseconds StopCheckInterval { 50 };
+    constexpr Milliseconds ExpiryInterval { 100 };
     /** Time for the process to exit before it would be killed. */
     constexpr Milliseconds ExitMargin { 400 };
 
@@ -64,6 +65,7 @@
           [this](std::string_view) { return readinessPage(); })
     , m_operatorServer(loop, fleet::requireAddress(settings.operatorAddress),
           [this](std::string_view target) { return operatorPage(target); })
+    , m_expiryTimer(loop)
     , m_stopTimer(loop)
     , m_stopGrace(settings.stopGrace)
 {
@@ -86,6 +88,7 @@
 
 void Gateway::start()
 {
+    expireTargets();
     m_storeFeed.start();
     m_peers.start();
     m_exchange.start();
@@ -199,6 +202,12 @@
         m_cacheInventory.start();
 }
 
+void Gateway::expireTargets()
+{
+    m_expiryTimer.arm(ExpiryInterval, [this] { expireTargets(); });
+    m_context.directory.expire(steadyNow());
+}
+
 void Gateway::onTargetChange(const adapter::KeyChange& change, SteadyTime mayReturnUntil)
 {
     if (const adapter::KeyDeleted* removed = std::get_if<adapter::KeyDeleted>(&change)) {
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -43,6 +43,8 @@
     std::optional<fleet::TargetRecord> decodeTarget(const adapter::StoreItem& item) const;
     /** Does nothing until the declaration and the targets are known. */
     void startCacheInventory();
+    /** Drops outdated knowledge of targets, now and again. */
+    void expireTargets();
     void putTarget(const fleet::TargetRecord& record);
     void accept(channels::ConnectionPointer connection);
     channels::StatusServer::Page readinessPage() const;
@@ -69,6 +71,7 @@
     channels::StatusServer m_readinessServer;
     channels::StatusServer m_operatorServer;
     std::set<std::shared_ptr<CallerConnection>> m_connections;
+    channels::Timer m_expiryTimer;
     channels::Timer m_stopTimer;
     Milliseconds m_stopGrace;
     SteadyTime m_stopDeadline;
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -114,6 +114,8 @@
     SteadyTime excludedUntil {};
     /** Set when the record is missing from the store but may be registered again until then. */
     std::optional<SteadyTime> mayReturnUntil;
+    /** @return whether the record was missing for so long that the target is gone. */
+    bool isGone(SteadyTime now) const { return mayReturnUntil && now >= *mayReturnUntil; }
     /** Prompt tokens of all entries by urgency, each with those of more urgent prompts. */
     std::array<uint64_t, UrgencyLevels> tokensAhead {};
     /** Prompt tokens of the other entries. */
@@ -142,7 +144,8 @@
 
 /**
  * The known targets: their records from the store, the load of all entries, and their health as
- * learned from attempts.
+ * learned from attempts. Only put(), remove(), replaceAll() and expire() add or remove targets, so
+ * the pointers that queries return stay valid until one of these is called.
  */
 class TargetDirectory {
 public:
@@ -165,7 +168,10 @@
      */
     std::vector<TargetId> replaceAll(std::span<const fleet::TargetRecord> records,
         const fleet::StoreRecovery& recovery, SteadyTime now);
-    /** Drops targets that were not registered again in time, and stale loads of peers. */
+    /**
+     * Drops targets that were not registered again in time, and stale loads of peers, and accepts
+     * records that can no longer be outdated. To be called a few times a second, between requests.
+     */
     void expire(SteadyTime now);
     /**
      * A target has announced in a response, to this gateway or another, that it is leaving. This
@@ -183,12 +189,12 @@
     const ReportAges& reportAges() const noexcept { return m_reportAges; }
 
     /** @return the targets of a pool that may get new requests, in the order of their ids. */
-    std::vector<TargetState*> usable(const PoolId& pool, SteadyTime now);
+    std::vector<TargetState*> usable(const PoolId& pool, SteadyTime now) const;
     /**
      * @return all known targets of a pool, in the order of their ids; also those that are leaving,
      *         which still respond for a while, and those whose record is stale.
      */
-    std::vector<TargetState*> allInPool(const PoolId& pool, SteadyTime now);
+    std::vector<TargetState*> allInPool(const PoolId& pool, SteadyTime now) const;
     /** @return null when no such target is known. */
     TargetState* find(const TargetId& id);
     size_t size() const noexcept { return m_targets.size(); }
@@ -235,6 +241,8 @@
     void acceptUnconfirmed(SteadyTime now);
     void dropOldRemovals(SteadyTime now);
     void excludeReplacedTargets(const TargetState& registered);
+    void addToPool(TargetState& state);
+    void removeFromPool(const TargetState& state);
     void dropStalePeerLoads(SteadyTime now);
     void dropOldDepartures(SteadyTime now);
 
@@ -244,7 +252,7 @@
     std::map<TargetId, RemovedRecord> m_removed;
     SteadyTime m_staleLoadsCheckedAt {};
     ReportAges m_reportAges;
-    /** The targets of each pool in the order of their ids; built on demand. */
+    /** The targets of each pool in the order of their ids. */
     std::map<PoolId, std::vector<TargetState*>> m_poolMembers;
     /** When the first missing target is dropped. */
     SteadyTime m_nextReturnEnd = SteadyTime::max();
--- a/libs/dispatch/src/TargetDirectory.cpp
+++ b/libs/dispatch/src/TargetDirectory.cpp
@@ -97,21 +97,42 @@
     TargetState& state = m_targets[record.id];
     const bool isSameIncarnation = state.record.id == record.id
         && state.record.startedAt == record.startedAt && state.record.address == record.address;
+    const bool changesPool = !isSameIncarnation || state.record.pool != record.pool;
+    if (changesPool)
+        removeFromPool(state);
     if (!isSameIncarnation)
         state = TargetState {};
-    if (!isSameIncarnation || state.record.pool != record.pool)
-        m_poolMembers.clear();
     state.idHash = stableHash(record.id.text());
     // A heartbeat does not show that a stale record is right.
     state.record.sequence = record.sequence;
     if (state.record != record)
         state.excludedUntil = {};
     state.record = record;
+    if (changesPool)
+        addToPool(state);
     state.mayReturnUntil.reset();
     excludeReplacedTargets(state);
     return !isSameIncarnation;
 }
 
+void TargetDirectory::addToPool(TargetState& state)
+{
+    std::vector<TargetState*>& members = m_poolMembers[state.record.pool];
+    const auto position = std::lower_bound(members.begin(), members.end(), state.record.id,
+        [](const TargetState* member, const TargetId& id) { return member->record.id < id; });
+    members.insert(position, &state);
+}
+
+void TargetDirectory::removeFromPool(const TargetState& state)
+{
+    const auto found = m_poolMembers.find(state.record.pool);
+    if (found == m_poolMembers.end())
+        return;
+    std::erase(found->second, &state);
+    if (found->second.empty())
+        m_poolMembers.erase(found);
+}
+
 // An address has one target at a time: of two records, the one registered later is running.
 void TargetDirectory::excludeReplacedTargets(const TargetState& registered)
 {
@@ -151,7 +172,7 @@
 void TargetDirectory::drop(std::map<TargetId, TargetState>::iterator target, SteadyTime now)
 {
     m_removed[target->first] = { target->second.record, now };
-    m_poolMembers.clear();
+    removeFromPool(target->second);
     m_targets.erase(target);
 }
 
@@ -161,7 +182,7 @@
     for (auto target = m_targets.begin(); target != m_targets.end();) {
         const auto current = target++;
         const std::optional<SteadyTime> end = current->second.mayReturnUntil;
-        if (end && now >= *end)
+        if (current->second.isGone(now))
             drop(current, now);
         else if (end)
             m_nextReturnEnd = std::min(m_nextReturnEnd, *end);
@@ -173,7 +194,7 @@
     if (now >= m_nextReturnEnd)
         dropMissing(now);
     acceptUnconfirmed(now);
-    // expire() is called many times a second; stale loads may be detected a little later.
+    // expire() may be called many times a second; stale loads may be detected a little later.
     constexpr Milliseconds CheckInterval { 100 };
     if (now - m_staleLoadsCheckedAt >= CheckInterval || now < m_staleLoadsCheckedAt) {
         dropStalePeerLoads(now);
@@ -257,7 +278,7 @@
     m_reportAges.note(peer, sequenceNumber, now);
 }
 
-std::vector<TargetState*> TargetDirectory::usable(const PoolId& pool, SteadyTime now)
+std::vector<TargetState*> TargetDirectory::usable(const PoolId& pool, SteadyTime now) const
 {
     std::vector<TargetState*> states = allInPool(pool, now);
     std::erase_if(states, [now](const TargetState* state) {
@@ -266,15 +287,16 @@
     return states;
 }
 
-std::vector<TargetState*> TargetDirectory::allInPool(const PoolId& pool, SteadyTime now)
+std::vector<TargetState*> TargetDirectory::allInPool(const PoolId& pool, SteadyTime now) const
 {
-    expire(now);
-    const auto [members, isNew] = m_poolMembers.try_emplace(pool);
-    for (auto target = m_targets.begin(); isNew && target != m_targets.end(); ++target) {
-        if (target->second.record.pool == pool)
-            members->second.push_back(&target->second);
-    }
-    return members->second;
+    const auto members = m_poolMembers.find(pool);
+    if (members == m_poolMembers.end())
+        return {};
+    std::vector<TargetState*> states = members->second;
+    // expire() drops them later.
+    if (now >= m_nextReturnEnd)
+        std::erase_if(states, [now](const TargetState* state) { return state->isGone(now); });
+    return states;
 }
 
 TargetState* TargetDirectory::find(const TargetId& id)
--- a/libs/dispatch/tests/TargetDirectoryTests.cpp
+++ b/libs/dispatch/tests/TargetDirectoryTests.cpp
@@ -35,6 +35,42 @@
         "The time counts from when the store is reachable again, not from the removal.");
 }
 
+// Guards against requests that use a target which a later query of the same decision has erased.
+Test(directory, queries_keep_the_targets_that_earlier_queries_returned)
+{
+    TargetDirectory directory;
+    directory.put(target("a"));
+    directory.put(target("b"));
+    const SteadyTime mayReturnUntil = Start + Milliseconds(2000);
+    directory.remove(TargetId("a"), mayReturnUntil, Start);
+    const std::vector<TargetState*> before
+        = directory.usable(Pool, mayReturnUntil - Milliseconds(1));
+    cr_assert_eq(before.size(), 2U);
+    cr_assert_eq(directory.allInPool(Pool, mayReturnUntil).size(), 1U);
+    cr_assert_eq(directory.usable(Pool, mayReturnUntil).size(), 1U);
+    cr_assert_eq(directory.find(TargetId("a")), before.front());
+    cr_assert_eq(directory.find(TargetId("b")), before.back());
+    directory.expire(mayReturnUntil);
+    cr_assert_null(directory.find(TargetId("a")));
+}
+
+Test(directory, targets_follow_their_records_to_other_pools)
+{
+    TargetDirectory directory;
+    for (const char* id : { "b", "c", "a" })
+        directory.put(target(id));
+    fleet::TargetRecord moved = target("b");
+    moved.pool = PoolId("other");
+    directory.put(moved);
+    const std::vector<TargetState*> states = directory.allInPool(Pool, Start);
+    cr_assert_eq(states.size(), 2U);
+    cr_expect(states.front()->record.id == TargetId("a"));
+    cr_expect(states.back()->record.id == TargetId("c"));
+    cr_assert_eq(directory.allInPool(PoolId("other"), Start).size(), 1U);
+    directory.remove(TargetId("b"), SteadyTime {}, Start);
+    cr_assert(directory.allInPool(PoolId("other"), Start).empty());
+}
+
 Test(directory, a_removed_target_is_dropped_at_once_when_the_store_was_reachable)
 {
     TargetDirectory directory;
@@ -290,6 +326,9 @@
     directory.replaceAll(std::span(&record, 1), Restored, Start);
     cr_assert(directory.usable(Pool, Start).empty());
     cr_assert(directory.usable(Pool, Restored.mayBeOutdatedUntil - Milliseconds(1)).empty());
+    directory.expire(Restored.mayBeOutdatedUntil - Milliseconds(1));
+    cr_assert(directory.usable(Pool, Restored.mayBeOutdatedUntil).empty());
+    directory.expire(Restored.mayBeOutdatedUntil);
     cr_assert_eq(directory.usable(Pool, Restored.mayBeOutdatedUntil).size(), 1U);
 
     TargetDirectory rewritten;
--- a/libs/emulator/src/EmulatedGateway.cpp
+++ b/libs/emulator/src/EmulatedGateway.cpp
@@ -167,6 +167,7 @@
 dispatch::PromptPlacement EmulatedGateway::choosePlacement(const ActiveRequest& request)
 {
     const SteadyTime now = m_fleet.queue.steadyNow();
+    m_directory.expire(now);
     States prefillEngines = usableEngines(EngineRole::Prefill);
     const Milliseconds left
         = std::chrono::duration_cast<Milliseconds>(request.deadline - m_fleet.queue.now());
