Unexpected exceptions end their own unit of work, not the process

What callers saw: every gateway ended by SIGABRT, again after each start, as long as the store held one record whose address is a host name; connections closed without a response.

Cause: callbacks of the event loop ran without a guard, and the programs caught our own exceptions only. Threads that decode large documents had no guard for others, and a thread that could not be started threw on the event loop.

Change: a connection is closed when its handler throws; a task, datagram, accepted connection, response of the store or declaration is dropped. Each is logged with its type and counted. Periodic work arms its timer before it begins. Where no thread can be started, its work is done at once. An address that is not an IP is an error of its connection or datagram. The fault soak fails on each such log line, on a report of a sanitizer, and now also when a process that was told to stop ends by a signal or a status of its own.

--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -122,7 +122,13 @@
         = std::make_shared<RequestHandler>(m_context, std::move(m_request), *this);
     m_request = {};
     m_handler = handler;
-    handler->start();
+    try {
+        handler->start();
+    } catch (const std::exception& exception) {
+        // The request may have been sent, so its caller must not get a promise about it.
+        telemetry::reportUnexpected("request", exception);
+        close();
+    }
 }
 
 void CallerConnection::respond(
--- a/apps/gateway/DeclarationAdoption.cpp
+++ b/apps/gateway/DeclarationAdoption.cpp
@@ -47,7 +47,7 @@
     job->document = std::move(document);
     job->source = source;
     job->whenInForce = std::move(whenInForce);
-    if (job->document.size() >= LargeDocumentBytes) {
+    if (job->document.size() >= LargeDocumentBytes && startWorker()) {
         queue(job);
         return;
     }
@@ -55,10 +55,21 @@
     onPrepared(*job);
 }
 
+bool DeclarationAdoption::startWorker()
+{
+    try {
+        if (!m_worker.joinable())
+            m_worker = std::jthread([this] { runWorker(); });
+        return true;
+    } catch (const std::system_error& error) {
+        telemetry::logWarning("config", "Preparing a large declaration on the event loop's thread.",
+            { { "cause", error.what() } });
+        return false;
+    }
+}
+
 void DeclarationAdoption::queue(std::shared_ptr<Job> job)
 {
-    if (!m_worker.joinable())
-        m_worker = std::jthread([this] { runWorker(); });
     // Declarations may come faster than they can be prepared; only the newest one matters then.
     m_waiting = std::move(job);
     std::shared_ptr<Job> next = m_waiting;
@@ -87,6 +98,9 @@
         job.prepared = prepareDeclaration(job.document);
     } catch (const adapter::DocumentUnreadable& unreadable) {
         job.problem = unreadable.describe();
+    } catch (const std::exception& exception) {
+        telemetry::reportUnexpected("declaration", exception);
+        job.problem = exception.what();
     }
 }
 
--- a/apps/gateway/DeclarationAdoption.h
+++ b/apps/gateway/DeclarationAdoption.h
@@ -52,6 +52,8 @@
     };
 
     static void prepare(Job& job);
+    /** @return whether the worker runs; the system may allow no further thread. */
+    bool startWorker();
     void queue(std::shared_ptr<Job> job);
     void runWorker();
     void onPrepared(const Job& job);
--- a/apps/gateway/DutyRunner.cpp
+++ b/apps/gateway/DutyRunner.cpp
@@ -82,6 +82,7 @@
 
 void DutyRunner::tick()
 {
+    m_timer.arm(TickInterval, [this] { tick(); });
     const duties::BootTime time = now();
     if (time - m_tickedAt > MaxTickDelay + TickInterval && m_lease.isHeld()) {
         telemetry::logWarning("duties", "Renewing the duties after a gap.",
@@ -96,7 +97,6 @@
         renew();
     work();
     telemetry::gauge("duty_holder", m_lease.isHeld() ? 1 : 0);
-    m_timer.arm(TickInterval, [this] { tick(); });
 }
 
 void DutyRunner::callStore(std::shared_ptr<void>& owner, const adapter::Call& call,
--- a/apps/gateway/PeerGroup.cpp
+++ b/apps/gateway/PeerGroup.cpp
@@ -203,6 +203,7 @@
 
 void PeerGroup::resendReports()
 {
+    m_resendTimer.arm(ResendInterval, [this] { resendReports(); });
     for (const auto& [id, state] : m_context.directory.targets()) {
         if (state.ownLoad != dispatch::Load {})
             noteLoad(id, state.ownLoad);
@@ -231,7 +232,6 @@
     // Counts that are no longer current expire here while no gateway is added or removed.
     if (m_recentGatewayCounts.size() > 1)
         updateGatewayCount();
-    m_resendTimer.arm(ResendInterval, [this] { resendReports(); });
 }
 
 void PeerGroup::onUpdate(const peers::Update& update, SteadyTime now)
--- a/apps/gateway/QuarantineRecord.cpp
+++ b/apps/gateway/QuarantineRecord.cpp
@@ -33,8 +33,8 @@
 
 void QuarantineRecord::start()
 {
-    update();
     m_timer.arm(jittered(UpdateInterval), [this] { start(); });
+    update();
 }
 
 void QuarantineRecord::onRead(const std::optional<adapter::StoreItem>& item)
--- a/apps/gateway/RoleCoordinator.cpp
+++ b/apps/gateway/RoleCoordinator.cpp
@@ -56,8 +56,8 @@
 void RoleCoordinator::start()
 {
     m_timer.arm(jittered(UpdateInterval), [this] {
-        update();
         start();
+        update();
     });
 }
 
--- a/apps/gateway/UsageExchange.cpp
+++ b/apps/gateway/UsageExchange.cpp
@@ -43,6 +43,7 @@
 
 void UsageExchange::tick()
 {
+    m_timer.arm(SendInterval, [this] { tick(); });
     const duties::BootTime now = m_context.clocks.boot();
     updateCollectors();
     m_clocks.note(m_self.gateway, m_context.clocks.wall(), now);
@@ -59,7 +60,8 @@
     forgetOldWindows();
     sendCounts();
     const bool isNew = !isEstimated && now - m_startedAt < MaxEarlyTime;
-    m_timer.arm(isNew ? FirstSendInterval : SendInterval, [this] { tick(); });
+    if (isNew)
+        m_timer.arm(FirstSendInterval, [this] { tick(); });
 }
 
 void UsageExchange::updateCollectors()
--- a/apps/gateway/VersionRecords.cpp
+++ b/apps/gateway/VersionRecords.cpp
@@ -56,9 +56,9 @@
 
 void VersionRecords::start()
 {
+    m_timer.arm(jittered(UpdateInterval), [this] { start(); });
     followTargets();
     updateRecords();
-    m_timer.arm(jittered(UpdateInterval), [this] { start(); });
 }
 
 void VersionRecords::onRecords(std::span<const adapter::StoreItem> items)
--- a/apps/programs/Program.cpp
+++ b/apps/programs/Program.cpp
@@ -24,14 +24,18 @@
     absl::SetProgramUsageMessage("A citronspoke program for the users' platform.\n  " + name
         + " --settings=FILE\nWithout the flag, CITRONSPOKE_SETTINGS names the file.");
     absl::ParseCommandLine(argc, argv);
-    telemetry::configureLogging(absl::GetFlag(FLAGS_verbose));
     int status = 0;
     try {
+        telemetry::configureLogging(absl::GetFlag(FLAGS_verbose));
         serve(settings::settingsPath(absl::GetFlag(FLAGS_settings)));
     } catch (const Error& error) {
         telemetry::logError(part, "Ended by a failure.", { { "cause", error.describe() } });
         std::cerr << name << ": " << error.describe() << '\n';
         status = 1;
+    } catch (const std::exception& exception) {
+        telemetry::reportUnexpected("program", exception);
+        std::cerr << name << ": " << exception.what() << '\n';
+        status = 1;
     }
     telemetry::finishLogging();
     return status;
--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -26,7 +26,10 @@
     EventLoop(const EventLoop&) = delete;
     EventLoop& operator=(const EventLoop&) = delete;
 
-    /** Runs callbacks until stop is called. */
+    /**
+     * Runs callbacks until stop is called. An exception that a callback throws is reported and ends
+     * only that callback; a connection is closed when one of its handlers throws.
+     */
     void run();
     void stop();
     /** Allows another run after stop. */
@@ -96,7 +99,8 @@
 using ConnectionPointer = std::shared_ptr<Connection>;
 
 /**
- * Starts to connect; the handlers of the returned connection receive the result.
+ * Starts to connect; the handlers of the returned connection receive the result. An address that is
+ * not an IP cannot be connected to.
  * @param limit longest time, in milliseconds, until the connection is established.
  */
 ConnectionPointer connect(EventLoop& loop, const fleet::Address& address, Milliseconds limit);
--- a/libs/channels/src/Connection.cpp
+++ b/libs/channels/src/Connection.cpp
@@ -1,5 +1,7 @@
 #include "EventLoopImplementation.h"
 
+#include "telemetry/Telemetry.h"
+
 #include <array>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -44,7 +46,12 @@
                 if (!error && self->m_isConnecting)
                     self->closeAndReport(ConnectionEnd::ConnectFailed);
             });
-            const Tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
+            asio::error_code error;
+            const Tcp::endpoint endpoint(asio::ip::make_address(address.ip, error), address.port);
+            if (error) {
+                asio::post(m_socket.get_executor(), [self, error] { self->onConnected(error); });
+                return;
+            }
             m_socket.async_connect(
                 endpoint, [self](const asio::error_code& error) { self->onConnected(error); });
         }
@@ -132,7 +139,7 @@
             const std::shared_ptr<TcpConnection> self = shared();
             const std::shared_ptr<Handlers> handlers = m_handlers;
             if (handlers->onConnected)
-                handlers->onConnected();
+                runHandler(handlers->onConnected);
             if (m_isClosed)
                 return;
             if (!m_queuedBytes.empty() && m_writeBuffer.empty())
@@ -168,7 +175,7 @@
             const std::shared_ptr<Handlers> handlers = m_handlers;
             m_isDelivering = true;
             if (handlers->onBytes)
-                handlers->onBytes(std::string_view(m_input.data(), size));
+                runHandler(handlers->onBytes, std::string_view(m_input.data(), size));
             m_isDelivering = false;
             continueReading();
         }
@@ -197,7 +204,7 @@
                 shutDownWriting();
             const std::shared_ptr<Handlers> handlers = m_handlers;
             if (handlers->onWritten)
-                handlers->onWritten();
+                runHandler(handlers->onWritten);
         }
 
         // Closing with unread input would send a reset, which can discard a response in transit.
@@ -217,6 +224,19 @@
             });
         }
 
+        /** Closes the connection when the handler throws. */
+        template <typename Handler, typename... Arguments>
+        void runHandler(const Handler& handler, const Arguments&... arguments)
+        {
+            try {
+                handler(arguments...);
+            } catch (const std::exception& exception) {
+                telemetry::reportUnexpected("connection", exception);
+                if (!m_isClosed)
+                    closeAndReport(ConnectionEnd::Broken);
+            }
+        }
+
         void closeAndReport(ConnectionEnd end)
         {
             const std::shared_ptr<TcpConnection> self = shared();
@@ -270,11 +290,11 @@
             [self = shared_from_this(), connection](const asio::error_code& error) {
                 if (!self->acceptor.is_open())
                     return;
+                self->accept();
                 if (!error) {
                     connection->configure(CallerTimeoutMs);
                     self->handler(connection);
                 }
-                self->accept();
             });
     }
 
--- a/libs/channels/src/DatagramPort.cpp
+++ b/libs/channels/src/DatagramPort.cpp
@@ -29,11 +29,20 @@
                     return;
                 // An error here reports an earlier send to a peer that no longer listens.
                 if (!error)
-                    self->handler(std::string_view(self->input.data(), size));
+                    self->deliver(std::string_view(self->input.data(), size));
                 self->receive();
             });
     }
 
+    void deliver(std::string_view datagram) const
+    {
+        try {
+            handler(datagram);
+        } catch (const std::exception& exception) {
+            telemetry::reportUnexpected("datagram", exception);
+        }
+    }
+
     Udp::socket socket;
     Udp::endpoint sender;
     Handler handler;
@@ -64,9 +73,10 @@
 void DatagramPort::send(const fleet::Address& peer, std::string_view datagram)
 {
     asio::error_code error;
-    const Udp::endpoint endpoint(asio::ip::make_address(peer.ip), peer.port);
-    m_implementation->socket.send_to(
-        asio::buffer(datagram.data(), datagram.size()), endpoint, 0, error);
+    const Udp::endpoint endpoint(asio::ip::make_address(peer.ip, error), peer.port);
+    if (!error)
+        m_implementation->socket.send_to(
+            asio::buffer(datagram.data(), datagram.size()), endpoint, 0, error);
     // The senders repeat their updates, so a lost datagram is only counted.
     if (error)
         telemetry::count("datagrams_not_sent");
--- a/libs/channels/src/EventLoop.cpp
+++ b/libs/channels/src/EventLoop.cpp
@@ -1,5 +1,7 @@
 #include "EventLoopImplementation.h"
 
+#include "telemetry/Telemetry.h"
+
 namespace citronspoke::channels {
 
 void EventLoop::Implementation::waitForSignal()
@@ -7,8 +9,8 @@
     signals->async_wait([this](const asio::error_code& error, int signal) {
         if (error)
             return;
-        signalHandler(signal);
         waitForSignal();
+        signalHandler(signal);
     });
 }
 
@@ -19,7 +21,17 @@
 
 EventLoop::~EventLoop() = default;
 
-void EventLoop::run() { m_implementation->context.run(); }
+void EventLoop::run()
+{
+    // The callback that threw has ended; the others are still queued.
+    while (!m_implementation->context.stopped()) {
+        try {
+            m_implementation->context.run();
+        } catch (const std::exception& exception) {
+            telemetry::reportUnexpected("callback", exception);
+        }
+    }
+}
 
 void EventLoop::restart() { m_implementation->context.restart(); }
 
--- a/libs/storefeed/src/LeasedKey.cpp
+++ b/libs/storefeed/src/LeasedKey.cpp
@@ -44,6 +44,9 @@
                 telemetry::logWarning("store", "The store refused a call for an own key.",
                     { { "key", m_options.key }, { "cause", error.describe() } });
                 renewLater(RetryInterval);
+            } catch (const std::exception& exception) {
+                telemetry::reportUnexpected("store response", exception);
+                renewLater(RetryInterval);
             }
         });
 }
--- a/libs/storefeed/src/ResponseDecoder.cpp
+++ b/libs/storefeed/src/ResponseDecoder.cpp
@@ -1,5 +1,7 @@
 #include "ResponseDecoder.h"
 
+#include "telemetry/Telemetry.h"
+
 namespace citronspoke::storefeed {
 
 namespace {
@@ -26,12 +28,10 @@
 
 void ResponseDecoder::decode(Kind kind, const StoreResponse& response, Handler handler)
 {
-    if (response.body.size() < LargeResponseBytes) {
+    if (response.body.size() < LargeResponseBytes || !startWorker()) {
         handler(decodeNow(kind, response));
         return;
     }
-    if (!m_worker.joinable())
-        m_worker = std::jthread([this] { runWorker(); });
     m_handler = std::make_shared<Handler>(std::move(handler));
     if (m_jobs.tryPush(std::make_shared<Job>(Job { kind, response, m_handler })))
         return;
@@ -49,10 +49,26 @@
             result.value = adapter::decodeWatch(response.status, response.body, response.era);
     } catch (const Error& error) {
         result.problem = error.describe();
+    } catch (const std::exception& exception) {
+        telemetry::reportUnexpected("store response", exception);
+        result.problem = exception.what();
     }
     return result;
 }
 
+bool ResponseDecoder::startWorker()
+{
+    try {
+        if (!m_worker.joinable())
+            m_worker = std::jthread([this] { runWorker(); });
+        return true;
+    } catch (const std::system_error& error) {
+        telemetry::logWarning("store", "Decoding a large response on the event loop's thread.",
+            { { "cause", error.what() } });
+        return false;
+    }
+}
+
 void ResponseDecoder::runWorker()
 {
     constexpr Milliseconds Wait { 1000 };
--- a/libs/storefeed/src/ResponseDecoder.h
+++ b/libs/storefeed/src/ResponseDecoder.h
@@ -42,6 +42,8 @@
     };
 
     static Result decodeNow(Kind kind, const StoreResponse& response);
+    /** @return whether the worker runs; the system may allow no further thread. */
+    bool startWorker();
     void runWorker();
 
     channels::EventLoop& m_loop;
--- a/libs/storefeed/src/StoreFeed.cpp
+++ b/libs/storefeed/src/StoreFeed.cpp
@@ -73,6 +73,9 @@
                 onWatch(std::get<adapter::WatchResult>(std::move(*result.value)), result.era);
         } catch (const Error& error) {
             scheduleRetry(error.describe());
+        } catch (const std::exception& exception) {
+            telemetry::reportUnexpected("store response", exception);
+            scheduleRetry(exception.what());
         }
     });
 }
--- a/libs/telemetry/include/telemetry/Telemetry.h
+++ b/libs/telemetry/include/telemetry/Telemetry.h
@@ -29,6 +29,13 @@
 void logWarning(std::string_view part, std::string_view sentence, Fields fields = {});
 void logError(std::string_view part, std::string_view sentence, Fields fields = {});
 
+/**
+ * Logs an exception that no code expected, with its type, and counts it as
+ * "citronspoke_unexpected_exceptions_total". The process lives on without the work that threw it.
+ * @param work what was dropped, such as "connection".
+ */
+void reportUnexpected(std::string_view work, const std::exception& exception);
+
 /** Adds to the counter "citronspoke_NAME_total". */
 void count(std::string_view name, Fields labels = {}, double amount = 1);
 /** Sets the gauge "citronspoke_NAME". */
--- a/libs/telemetry/src/LogWriter.cpp
+++ b/libs/telemetry/src/LogWriter.cpp
@@ -45,18 +45,27 @@
 {
     std::deque<std::string> batch;
     while (m_lines.popAll(batch, MaxWait)) {
-        std::string text;
-        for (const std::string& line : batch)
-            text += line;
-        const uint64_t dropped = m_dropped.exchange(0);
-        if (dropped > 0) {
-            text += "[log] Lines were dropped. count=" + std::to_string(dropped) + "\n";
-            count("log_lines_dropped", {}, static_cast<double>(dropped));
+        try {
+            writeBatch(batch);
+        } catch (const std::exception&) {
+            m_dropped += batch.size();
         }
-        writeAll(text);
         if (!batch.empty())
             std::this_thread::sleep_for(BatchingDelay);
     }
 }
 
+void LogWriter::writeBatch(const std::deque<std::string>& batch)
+{
+    std::string text;
+    for (const std::string& line : batch)
+        text += line;
+    const uint64_t dropped = m_dropped.exchange(0);
+    if (dropped > 0) {
+        text += "[log] Lines were dropped. count=" + std::to_string(dropped) + "\n";
+        count("log_lines_dropped", {}, static_cast<double>(dropped));
+    }
+    writeAll(text);
+}
+
 } // namespace citronspoke::telemetry
--- a/libs/telemetry/src/LogWriter.h
+++ b/libs/telemetry/src/LogWriter.h
@@ -19,6 +19,7 @@
 
 private:
     void run();
+    void writeBatch(const std::deque<std::string>& batch);
 
     BoundedQueue<std::string> m_lines;
     std::atomic<uint64_t> m_dropped { 0 };
--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -137,6 +137,16 @@
     });
 }
 
+void SoakFleet::checkLogs() const
+{
+    for (const GatewayPlace& place : m_gateways)
+        place.process->checkLog();
+    for (const TargetPlace& place : m_targets) {
+        if (place.sidecar)
+            place.sidecar->checkLog();
+    }
+}
+
 bool SoakFleet::areGatewaysAnnounced() const
 {
     const std::map<std::string, std::string> contents = m_store.contents();
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -51,6 +51,8 @@
     /** Starts the targets, the gateways and the sidecars. */
     void start();
     void killAllGateways();
+    /** Records as violations what the logs of the processes show of their own faults. */
+    void checkLogs() const;
     /** @return a random fault or planned change that the options allow. */
     Fault drawFault(std::mt19937_64& random);
 
--- a/tests/soak/SoakProcess.cpp
+++ b/tests/soak/SoakProcess.cpp
@@ -78,11 +78,22 @@
     std::lock_guard lock(m_mutex);
     if (!m_process || m_process->isRunning())
         return;
-    if (!m_isEnding)
-        m_history.recordViolation("ended", m_name + " ended unexpectedly");
+    // A stop that was requested must not fail either.
+    if (!m_isEnding || !m_process->failure().empty())
+        m_history.recordViolation("ended", m_name + " ended unexpectedly: " + m_process->failure());
     launch();
 }
 
+void SoakProcess::checkLog() const
+{
+    std::ifstream log(m_logPath);
+    for (std::string line; std::getline(log, line);) {
+        if (line.find("[exceptions]") != std::string::npos
+            || line.find("Sanitizer") != std::string::npos)
+            m_history.recordViolation("exceptions", m_name + ": " + line);
+    }
+}
+
 std::optional<SteadyTime> SoakProcess::runningSince() const
 {
     std::lock_guard lock(m_mutex);
--- a/tests/soak/SoakProcess.h
+++ b/tests/soak/SoakProcess.h
@@ -25,6 +25,8 @@
     /** Restarts the process if it has ended; an end without kill() or terminate() is a violation.
      */
     void restartIfEnded();
+    /** An unexpected exception, or the report of a sanitizer, is a violation. */
+    void checkLog() const;
     /** @return when it was last started; none while it is stopping or not running. */
     std::optional<SteadyTime> runningSince() const;
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -74,6 +74,7 @@
         m_isStopping = true;
         threads.clear();
         m_history.checkAtEnd();
+        m_fleet.checkLogs();
         return m_history.violations();
     }
 
--- a/tools/localfleet/ChildProcess.cpp
+++ b/tools/localfleet/ChildProcess.cpp
@@ -82,6 +82,10 @@
     if (waitpid(m_pid, &status, WNOHANG) == 0)
         return true;
     m_pid = -1;
+    if (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL && WTERMSIG(status) != SIGTERM)
+        m_failure = "signal " + std::to_string(WTERMSIG(status));
+    else if (WIFEXITED(status) && WEXITSTATUS(status) != 0)
+        m_failure = "status " + std::to_string(WEXITSTATUS(status));
     return false;
 }
 
--- a/tools/localfleet/ChildProcess.h
+++ b/tools/localfleet/ChildProcess.h
@@ -41,6 +41,9 @@
     pid_t pid() const noexcept { return m_pid; }
     /** @return whether the process still runs; reaps it when it has ended. */
     bool isRunning();
+    /** @return how the process ended, as a short text; empty unless isRunning() has found that it
+     * ended by itself: with another status than 0, or by another signal than SIGKILL or SIGTERM. */
+    const std::string& failure() const noexcept { return m_failure; }
     /** Sends SIGTERM and waits. @return as for waitForExit(). */
     std::optional<int> terminate(Milliseconds limit);
     /** @return the exit status, -1 after an end by a signal; none when the limit has passed. */
@@ -60,6 +63,7 @@
 
 private:
     pid_t m_pid = -1;
+    std::string m_failure;
 };
 
 } // namespace citronspoke::localfleet
