Gateway: its settings live longer than what refers to them

Cause: the settings were declared after the gateway, so that they were destroyed first, and the gateway's state refers to them, also when requests that are still open at the end of a stop are finished by their destructors. Change: the settings are declared first.

--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -26,6 +26,8 @@
     // Signals are registered before the settings are read, so that no change to the file is missed;
     // they are handled once the loop runs.
     channels::EventLoop loop;
+    // Declared before the gateway, which uses them until it is destroyed.
+    settings::GatewaySettings settings;
     std::optional<gateway::Gateway> gateway;
     constexpr std::array<int, 3> Signals { SIGTERM, SIGINT, SIGHUP };
     loop.onSignals(Signals, [&gateway, &path](int signal) {
@@ -34,8 +36,7 @@
         else
             gateway->beginStop();
     });
-    const settings::GatewaySettings settings
-        = settings::parseGatewaySettings(settings::readFile(path));
+    settings = settings::parseGatewaySettings(settings::readFile(path));
     gateway.emplace(loop, settings);
     gateway->start();
     telemetry::logInfo("gateway", "Started.",
