A response without length and body is not taken for a whole one

What callers saw: where a target ended right after the head of a response that has neither a length nor chunks, a 200 with an empty body, framed as whole.

Cause: without a length, a response ends with its connection. For streams one without events already counted as broken off; for other responses an empty body counted as whole. Change: it counts as broken off. Work that may be repeated goes to another target, other work gets a 502. A part of a head was never taken for a response: heads/* close after each byte of heads with a length, of 0 too, with chunks and with neither. A failure that a resumed stream meets is not shown in it, and the stream is reset: resumed_streams/* for failures with and without length, refusals, unsigned successes, successes without events and parts of heads.

--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -229,9 +229,9 @@
     // A success without a signature is not the target's response.
     if (!m_attempt->responseInfo.isSigned || m_attempt->splitter.hasPartialEvent())
         return Outcome::Unknown;
-    // Without a length, a stream that has only begun looks like a complete one.
-    if (m_attempt->isRelayed && m_attempt->events == 0
-        && m_attempt->head->framing == http1::BodyFraming::UntilClose)
+    // Without a length, a response that has only begun looks like a complete one.
+    const bool isEmpty = m_attempt->isRelayed ? m_attempt->events == 0 : m_attempt->body.empty();
+    if (isEmpty && m_attempt->head->framing == http1::BodyFraming::UntilClose)
         return Outcome::Unknown;
     return Outcome::Served;
 }
--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -253,13 +253,15 @@
     return response;
 }
 
-CallerResponse Caller::receiveToEnd()
+CallerResponse Caller::receiveToEnd() { return parseResponse(receiveRest()); }
+
+std::string Caller::receiveRest()
 {
     std::array<char, 65536> buffer {};
     ssize_t size = 0;
     while ((size = recv(m_descriptor, buffer.data(), buffer.size(), 0)) > 0)
         m_received.append(buffer.data(), static_cast<size_t>(size));
-    return parseResponse(std::exchange(m_received, {}));
+    return std::exchange(m_received, {});
 }
 
 std::string Caller::receiveUntil(std::string_view end)
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -154,6 +154,8 @@
     CallerResponse receive();
     /** Reads up to the end of the connection; for large responses, which are parsed once. */
     CallerResponse receiveToEnd();
+    /** Reads up to the end of the connection. @return the bytes. */
+    std::string receiveRest();
     /** Reads until the bytes so far end with @p end. @return the bytes. */
     std::string receiveUntil(std::string_view end);
     void close();
