Planned stops: requests that cannot end in time are refused, the others answered

What callers saw: a request whose last bytes arrived late in the grace period was sent to a target, and at the end of the period its connection was closed without a response, also for work that may not be repeated. The same happened to a request from before the stop that ran longer than the period.

Cause: a gateway that is stopping went on to accept requests from open connections, whatever their time limit, and stopped the event loop at the end of the period whatever was still open. At the end of the period open requests get a response: 503 where nothing has run, else 502, which promises nothing; a stream that has begun is reset. The process ends 0.1 s later.

Evidence: stops/a_request_that_may_outlast_the_process_is_refused_as_not_run and stops/a_request_that_outlasts_the_grace_period_gets_a_response failed without the change.

--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -62,6 +62,12 @@
         close();
 }
 
+void CallerConnection::endRequest()
+{
+    if (m_handler)
+        m_handler->endForStop();
+}
+
 void CallerConnection::onBytes(std::string_view bytes)
 {
     m_pending.append(bytes);
@@ -275,7 +281,7 @@
 
 void CallerConnection::addConnectionField(http1::Headers& headers)
 {
-    if (m_context.isStopping)
+    if (m_context.stop)
         m_closesAfterResponse = true;
     if (m_closesAfterResponse)
         headers.add("Connection", "close");
--- a/apps/gateway/CallerConnection.h
+++ b/apps/gateway/CallerConnection.h
@@ -18,6 +18,8 @@
     void start();
     /** Ends the connection as soon as no request is being served. */
     void closeWhenIdle();
+    /** Ends the request that is being served, if any, with a response: the process stops. */
+    void endRequest();
     bool isIdle() const noexcept { return !m_handler && m_parser.isBetweenMessages(); }
 
     void respond(uint32_t status, std::string_view reason, const http1::Headers& headers,
--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -13,6 +13,8 @@
     constexpr Milliseconds ExpiryInterval { 100 };
     /** Time for the process to exit before it would be killed. */
     constexpr Milliseconds ExitMargin { 400 };
+    /** For the last responses to be sent. */
+    constexpr Milliseconds LastResponseTime { 100 };
 
     /** Short enough to detect a watch that silently stopped delivering within the time in which a
      * new declaration must take effect. */
@@ -249,8 +251,7 @@
 
 channels::StatusServer::Page Gateway::readinessPage() const
 {
-    const bool isReady
-        = m_context.routes && m_context.directory.size() > 0 && !m_context.isStopping;
+    const bool isReady = m_context.routes && m_context.directory.size() > 0 && !m_context.stop;
     channels::StatusServer::Page page;
     page.status = isReady ? 200 : 503;
     return page;
@@ -280,10 +281,10 @@
 
 void Gateway::beginStop()
 {
-    if (m_context.isStopping)
+    if (m_context.stop)
         return;
-    m_context.isStopping = true;
-    m_stopDeadline = steadyNow() + m_stopGrace - ExitMargin;
+    const SteadyTime now = steadyNow();
+    m_context.stop = { now + LoadBalancerReactionTime, now + m_stopGrace - ExitMargin };
     if (m_duties)
         m_duties->beginStop();
     telemetry::logInfo("gateway", "Stopping.",
@@ -305,15 +306,27 @@
 
 void Gateway::checkStopped()
 {
-    if (m_connections.empty() || steadyNow() >= m_stopDeadline) {
-        telemetry::logInfo(
-            "gateway", "Stopped.", { { "unfinished", std::to_string(m_connections.size()) } });
-        if (m_duties)
-            m_duties->endStop();
-        m_loop.stop();
+    if (m_connections.empty()) {
+        finishStop();
         return;
     }
-    m_stopTimer.arm(StopCheckInterval, [this] { checkStopped(); });
+    if (steadyNow() < m_context.stop->endsRequestsAt) {
+        m_stopTimer.arm(StopCheckInterval, [this] { checkStopped(); });
+        return;
+    }
+    const std::set<std::shared_ptr<CallerConnection>> connections = m_connections;
+    for (const std::shared_ptr<CallerConnection>& connection : connections)
+        connection->endRequest();
+    m_stopTimer.arm(LastResponseTime, [this] { finishStop(); });
+}
+
+void Gateway::finishStop()
+{
+    telemetry::logInfo(
+        "gateway", "Stopped.", { { "unfinished", std::to_string(m_connections.size()) } });
+    if (m_duties)
+        m_duties->endStop();
+    m_loop.stop();
 }
 
 } // namespace citronspoke::gateway
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -27,7 +27,9 @@
     void reload(const settings::GatewaySettings& settings);
     /**
      * Reports that it is not ready, closes the listener once the load balancer has reacted,
-     * finishes open requests within the grace period, then stops the event loop.
+     * finishes open requests within the grace period, then stops the event loop. Requests that may
+     * last longer are refused once callers reach other gateways; those that were accepted before
+     * get a failure at the end of the period.
      */
     void beginStop();
     /** The state that requests share; for tests. */
@@ -51,6 +53,7 @@
     channels::StatusServer::Page operatorPage(std::string_view target) const;
     void closeIdleConnections();
     void checkStopped();
+    void finishStop();
 
     channels::EventLoop& m_loop;
     GatewayContext m_context;
@@ -74,7 +77,6 @@
     channels::Timer m_expiryTimer;
     channels::Timer m_stopTimer;
     Milliseconds m_stopGrace;
-    SteadyTime m_stopDeadline;
 };
 
 } // namespace citronspoke::gateway
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -30,6 +30,14 @@
     static duties::BootTime bootNow();
 };
 
+/** The times of a planned stop. */
+struct StopPlan {
+    /** From then on callers that are refused reach other gateways. */
+    SteadyTime leavesLoadBalancerAt;
+    /** Requests that are still open are ended then. */
+    SteadyTime endsRequestsAt;
+};
+
 /** State that all requests of a gateway share. Used by the event loop's thread only. */
 struct GatewayContext {
     GatewayContext(
@@ -71,7 +79,8 @@
     /** Time since the store, or another gateway in contact with it, last confirmed the declaration;
      * an hour when none has. */
     std::function<Milliseconds()> declarationAge;
-    bool isStopping = false;
+    /** None while the gateway is not being stopped. */
+    std::optional<StopPlan> stop;
     /** The other gateways; null until reports can be sent to them. */
     PeerGroup* peers = nullptr;
     /** Null until the gateway is constructed. */
--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -100,6 +100,8 @@
         if (const std::shared_ptr<RequestHandler> self = weak.lock())
             self->onDeadline();
     });
+    if (refuseBeforeStop())
+        return;
     if (m_lastEventId)
         resumeStream();
     else
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -47,6 +47,8 @@
     void callerLeft();
     /** The writer is no longer full. */
     void continueRelay();
+    /** The process stops: ends the request with a response, or breaks off one that has begun. */
+    void endForStop();
 
 private:
     /** What an attempt asks of its target: a whole run, a prefill or a decode. */
@@ -119,6 +121,8 @@
     using TargetStates = std::vector<dispatch::TargetState*>;
 
     bool findRoute();
+    /** Refuses a request that may last longer than the process. @return whether it was refused. */
+    bool refuseBeforeStop();
     /**
      * Refuses the request unless the newest declaration allows it: its route is public, or its key
      * belongs to an organisation. Called before each send.
@@ -240,6 +244,8 @@
      * paid. */
     bool spendRetryBudget(uint32_t sends);
     void onDeadline();
+    /** @return whether a target may be running the request, or may have run it. */
+    bool mayHaveRun() const;
 
     void refuse(uint32_t status, std::string_view cause, Milliseconds retryAfter);
     void fail(std::string_view cause);
--- a/apps/gateway/RequestHandlerOutcomes.cpp
+++ b/apps/gateway/RequestHandlerOutcomes.cpp
@@ -100,14 +100,12 @@
 {
     if (m_isOver)
         return;
-    const bool isRunning = m_attempt && m_attempt->step != Step::Prefill && m_attempt->exchange
-        && m_attempt->exchange->isSent();
     if (m_hasBegunResponse) {
         finish("broken", 0, "deadline");
         m_writer->abort();
         return;
     }
-    if (m_ranOn.empty() && !isRunning) {
+    if (!mayHaveRun()) {
         refuse(Unavailable, "deadline", ShortRetryAfter);
         return;
     }
@@ -119,6 +117,35 @@
     finish("timed_out", GatewayTimeout, "deadline");
 }
 
+bool RequestHandler::mayHaveRun() const
+{
+    const bool isRunning = m_attempt && m_attempt->step != Step::Prefill && m_attempt->exchange
+        && m_attempt->exchange->isSent();
+    return isRunning || !m_ranOn.empty();
+}
+
+bool RequestHandler::refuseBeforeStop()
+{
+    const std::optional<StopPlan>& stop = m_context.stop;
+    // A caller that is refused earlier may come back to this gateway.
+    if (!stop || steadyNow() < stop->leavesLoadBalancerAt || m_deadline <= stop->endsRequestsAt)
+        return false;
+    telemetry::count("refused_before_stop");
+    refuse(Unavailable, "the process stops within the request's time limit", Milliseconds(0));
+    return true;
+}
+
+void RequestHandler::endForStop()
+{
+    constexpr std::string_view Cause = "the process stops";
+    if (m_isOver)
+        return;
+    if (m_hasBegunResponse || mayHaveRun())
+        fail(Cause);
+    else
+        refuse(Unavailable, Cause, Milliseconds(0));
+}
+
 void RequestHandler::refuse(uint32_t status, std::string_view cause, Milliseconds retryAfter)
 {
     http1::Headers headers;
--- a/apps/gateway/RoleCoordinator.cpp
+++ b/apps/gateway/RoleCoordinator.cpp
@@ -64,7 +64,7 @@
 void RoleCoordinator::update()
 {
     const std::shared_ptr<const dispatch::RouteTable> routes = m_context.routes;
-    if (!routes || m_context.isStopping)
+    if (!routes || m_context.stop)
         return;
     for (const fleet::PoolTraits& traits : routes->declaration().pools) {
         if (traits.engine)
