Fault soak: odd records, large declarations, and retries counted as the rule does

Change: odd records stay in the store during each play, every other declaration has 350 further routes, and arrivals without an attempt id are no retries. The bound on retries stays as it is.

--- a/tests/soak/RetryLimit.cpp
+++ b/tests/soak/RetryLimit.cpp
@@ -23,6 +23,8 @@
 void RetryLimit::recordArrival(
     const std::string& pool, const std::string& attempt, bool isPrefill, SteadyTime now)
 {
+    if (attempt.empty())
+        return;
     // The first prefill is not extra, beside the first run.
     std::set<std::string>& arrived = isPrefill ? m_prefilled : m_run;
     if (!arrived.insert(attempt).second)
--- a/tests/soak/RetryLimit.h
+++ b/tests/soak/RetryLimit.h
@@ -18,7 +18,10 @@
 
     /** Records that a caller sends an attempt on a route to the pool. */
     void recordRequest(const std::string& pool, SteadyTime now);
-    /** Records that an attempt has reached a target, which may refuse it. */
+    /**
+     * Records that an attempt has reached a target, which may refuse it.
+     * @param attempt empty for a call of a gateway itself, which is no retry of a request.
+     */
     void recordArrival(
         const std::string& pool, const std::string& attempt, bool isPrefill, SteadyTime now);
 
--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -11,6 +11,8 @@
     constexpr Milliseconds SupervisionInterval { 50 };
     constexpr size_t DecodeEnginesAtStart = 2;
     constexpr size_t Versions = 2;
+    /** Routes that nobody uses, in every other declaration, which is then a large document. */
+    constexpr int FurtherRoutes = 350;
 
     std::string quoted(const std::string& text) { return "\"" + text + "\"\n"; }
 
@@ -116,6 +118,7 @@
     for (TargetPlace& place : m_targets)
         startTarget(place, nextIncarnationId(place));
     publishDeclaration();
+    writeOddRecords();
     m_loopThread = std::jthread([this] { m_loop.run(); });
     for (GatewayPlace& place : m_gateways)
         place.process->start();
@@ -167,12 +170,27 @@
     routes.push_back(
         fakes::routeDocument("/single/", { "streaming", "llm", 3000, 2, false, true }));
     routes.push_back(fakes::routeDocument(revisionPath(revision), { "idempotent" }));
+    for (int number = 0; revision % 2 == 0 && number < FurtherRoutes; ++number)
+        routes.push_back(
+            fakes::routeDocument("/unused-" + std::to_string(number) + "/", { "idempotent" }));
     std::lock_guard lock(m_mutex);
     m_declarationText = fakes::declarationText(revision, routes);
     m_store.put("op/config", m_declarationText);
     m_publishedDeclaration = { revision, steadyNow() };
 }
 
+void SoakFleet::writeOddRecords()
+{
+    const std::string prefix(OddRecordPrefix);
+    size_t number = 0;
+    for (const std::string_view address :
+        { "localhost:8080", "127.0.0.256:8080", "127.0.0.1:70000", "[::1]:8080", ":", "" })
+        m_store.put(prefix + std::to_string(++number),
+            fakes::entryText({ "app", std::string(address), "", "ready", "v1", 1 }));
+    for (const std::string_view value : { "", "null", "[]", "{\"service\":\"app\"}", "\xff\xfe" })
+        m_store.put(prefix + std::to_string(++number), std::string(value));
+}
+
 SoakFleet::PublishedDeclaration SoakFleet::publishedDeclaration() const
 {
     std::lock_guard lock(m_mutex);
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -74,6 +74,8 @@
     static std::string revisionPath(int revision);
 
 private:
+    /** Begins the keys of records that another writer has left. */
+    static constexpr std::string_view OddRecordPrefix = "servers/odd-";
     /** A draining target must get no new work after this time, as the deployments require it. */
     static constexpr Milliseconds DrainLimit { 2000 };
 
@@ -104,6 +106,8 @@
     std::string nextIncarnationId(TargetPlace& place);
     void replaceTarget(TargetPlace& place);
     void publishDeclaration();
+    /** Leaves records among those of the targets that name no target to use. */
+    void writeOddRecords();
     /** Keeps a copy of the store, now and then. */
     void copyStore();
     /** Restores the store from an older copy; its operator and the targets write again later. */
--- a/tests/soak/SoakFleetFaults.cpp
+++ b/tests/soak/SoakFleetFaults.cpp
@@ -275,7 +275,7 @@
         place.target->publish();
     }
     for (const auto& [key, value] : m_store.contents()) {
-        if (key.starts_with("servers/") && !live.contains(key))
+        if (key.starts_with("servers/") && !key.starts_with(OddRecordPrefix) && !live.contains(key))
             m_store.remove(key);
     }
 }
