--- a/libs/channels/tests/ThrowingHandlerTests.cpp
+++ b/libs/channels/tests/ThrowingHandlerTests.cpp
@@ -110,9 +110,10 @@
     odd->write("odd");
     runUntil(loop, isOddClosed);
     bool isAnswered = false;
-    handlers.onBytes = [&isAnswered](std::string_view bytes) { isAnswered = bytes == "plain"; };
-    handlers.onEnd = {};
-    other->start(std::move(handlers));
+    Connection::Handlers otherHandlers;
+    otherHandlers.onBytes
+        = [&isAnswered](std::string_view bytes) { isAnswered = bytes == "plain"; };
+    other->start(std::move(otherHandlers));
     other->write("plain");
     runUntil(loop, isAnswered);
     cr_assert(isCounted("connection"));
