Settings: the memory and descriptors of a process

Nothing in a process knows what its machine grants it, so nothing can keep its callers within that. Defaults: 256 MB and 4096 descriptors. Nothing reads them yet.

Measured: settings-tests pass, with a new test of absent and stated limits.

--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -263,6 +263,14 @@
     Milliseconds window { 10000 };
 };
 
+/** What the machine grants a process. */
+struct ProcessLimits {
+    /** Memory, in MB (2^20 bytes); a process that exceeds it is ended. */
+    size_t memoryMb = 256;
+    /** Descriptors that may be open, those of the system's own files included. */
+    size_t descriptors = 4096;
+};
+
 /** Settings of the duties that one gateway at a time fulfils for the platform. */
 struct DutySettings {
     /** The platform's API, "IP:PORT"; empty where it has none. */
@@ -313,6 +321,7 @@
     DutySettings duties;
     /** Spread requests evenly although reports of other gateways are old. */
     bool hasEvenLoad = false;
+    ProcessLimits process;
 };
 
 /** Settings of the sidecar beside a model engine. */
@@ -323,6 +332,7 @@
     std::string engine;
     /** Serves operators over HTTP and the gateways over UDP, "IP:PORT". */
     std::string operatorAddress;
+    ProcessLimits process;
 };
 
 /**
--- a/libs/settings/src/GatewayAndSidecarSettings.cpp
+++ b/libs/settings/src/GatewayAndSidecarSettings.cpp
@@ -11,7 +11,7 @@
 
     constexpr double MsPerSecond = 1000;
 
-    constexpr std::array<KeyRule, 25> GatewayRules {
+    constexpr std::array<KeyRule, 27> GatewayRules {
         KeyRule { "", "id", ValueKind::Text, true },
         KeyRule { "", "zone", ValueKind::Text, true },
         KeyRule { "", "callers", ValueKind::Address, true },
@@ -37,13 +37,17 @@
         KeyRule { "", "usage_delay_s", ValueKind::Real, false, 0.1, 3600 },
         KeyRule { "", "clock_skew_ms", ValueKind::Integer, false, 0, 3600000 },
         KeyRule { "", "even_load", ValueKind::Flag, false },
+        KeyRule { "", "memory_mb", ValueKind::Integer, false, 16, 1 << 20 },
+        KeyRule { "", "max_descriptors", ValueKind::Integer, false, 128, 1 << 20 },
     };
 
-    constexpr std::array<KeyRule, 4> SidecarRules {
+    constexpr std::array<KeyRule, 6> SidecarRules {
         KeyRule { "", "id", ValueKind::Text, true },
         KeyRule { "", "zone", ValueKind::Text, true },
         KeyRule { "", "engine", ValueKind::Address, true },
         KeyRule { "", "operator", ValueKind::Address, true },
+        KeyRule { "", "memory_mb", ValueKind::Integer, false, 16, 1 << 20 },
+        KeyRule { "", "max_descriptors", ValueKind::Integer, false, 128, 1 << 20 },
     };
 
     /** Reads the settings that the gateway and the sidecar have in common. */
@@ -52,6 +56,9 @@
         settings.id = reader.text("id");
         settings.zone = ZoneId(reader.text("zone"));
         settings.operatorAddress = reader.text("operator");
+        settings.process.memoryMb = reader.number<size_t>("memory_mb", settings.process.memoryMb);
+        settings.process.descriptors
+            = reader.number<size_t>("max_descriptors", settings.process.descriptors);
     }
 
     /** @return the value of a key given in seconds. */
--- a/libs/settings/tests/GatewaySettingsTests.cpp
+++ b/libs/settings/tests/GatewaySettingsTests.cpp
@@ -50,6 +50,22 @@
     cr_assert(stated.revokeTime == Milliseconds(7000));
 }
 
+// Guards platforms that do not state what a process may use.
+Test(gateway_settings, limits_of_the_process_may_be_absent)
+{
+    const ProcessLimits absent = parseGatewaySettings({ "gateway.toml", Gateway }).process;
+    cr_assert_eq(absent.memoryMb, 256U);
+    cr_assert_eq(absent.descriptors, 4096U);
+    const std::string limits = "memory_mb = 160\nmax_descriptors = 4100\n";
+    const ProcessLimits stated
+        = parseGatewaySettings({ "gateway.toml", Gateway + limits }).process;
+    cr_assert_eq(stated.memoryMb, 160U);
+    cr_assert_eq(stated.descriptors, 4100U);
+    const std::string sidecar = "id = \"s\"\nzone = \"z\"\nengine = \"10.0.0.1:1\"\n"
+                                "operator = \"10.0.0.1:2\"\n";
+    cr_assert_eq(parseSidecarSettings({ "s.toml", sidecar + limits }).process.memoryMb, 160U);
+}
+
 Test(gateway_settings, reports_missing_invalid_and_unknown_keys_together)
 {
     std::string text = Gateway;
