A chunk above the body limit is rejected at its head

Callers saw: a crowd that announces one chunk of 2 GB each made the gateway collect up to the body limit of every one before it responded with 413; 60 of them took 69 MB of a process with 48.

Cause: the parser compared only received bytes with the limit, although a chunk's head states its size as Content-Length does.

The parser compares the announced size with what the limit still allows, so nothing of such a chunk is kept. The caller gets the same 413, sooner.

--- a/libs/http1/src/RequestParser.cpp
+++ b/libs/http1/src/RequestParser.cpp
@@ -19,6 +19,7 @@
         message.resetFor(HTTP_REQUEST);
         settings = baseSettings();
         settings.on_headers_complete = onHeadersComplete;
+        settings.on_chunk_header = onChunkHeader;
         settings.on_body = onBody;
         settings.on_message_complete = onMessageComplete;
     }
@@ -50,6 +51,15 @@
         return 0;
     }
 
+    static int onChunkHeader(http_parser* parser)
+    {
+        // http_parser states the size of the chunk that follows as the content length.
+        State& state = of(parser);
+        if (parser->content_length > state.limits.bodyBytes - state.bodyBytes)
+            state.isBodyTooLarge = true;
+        return state.isBodyTooLarge ? -1 : 0;
+    }
+
     static int onBody(http_parser* parser, const char* bytes, size_t size)
     {
         State& state = of(parser);
--- a/libs/http1/tests/Http1Tests.cpp
+++ b/libs/http1/tests/Http1Tests.cpp
@@ -48,6 +48,16 @@
         == "abc");
 }
 
+// Guards against bodies that are collected up to the limit although they announce more.
+Test(requests, a_chunk_above_the_limit_is_rejected_before_its_bytes)
+{
+    const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    cr_expect(isRejected(head + "41\r\n", ParseFault::BodyTooLarge));
+    cr_expect(isRejected(head + "80000000\r\n", ParseFault::BodyTooLarge));
+    cr_expect(isRejected(head + "1\r\na\r\n40\r\n", ParseFault::BodyTooLarge));
+    cr_expect(bodyOf(parseRequest(head + "40\r\n")).empty());
+}
+
 Test(requests, fed_byte_by_byte_are_parsed)
 {
     RequestParser parser(MessageLimits {});
