Trailers of a chunked body are not kept

Callers saw: a crowd that sends trailers and no end made the gateway keep up to 80 KB of them for each, parsed into fields of many times that size; 60 callers took 64 MB of a process with 48.

Cause: the parser collects the fields of trailers like those of a head, and nobody reads them.

Fields that follow the head are skipped. Trailers were never forwarded, so nothing changes for targets.

--- a/libs/http1/src/MessageState.cpp
+++ b/libs/http1/src/MessageState.cpp
@@ -26,6 +26,9 @@
     int onHeaderName(http_parser* parser, const char* bytes, size_t size)
     {
         MessageState& state = stateOf(parser);
+        // Trailers are not forwarded, so they are not kept.
+        if (state.isHeadComplete)
+            return 0;
         if (state.isInValue)
             state.finishHeader();
         state.name.append(bytes, size);
@@ -35,6 +38,8 @@
     int onHeaderValue(http_parser* parser, const char* bytes, size_t size)
     {
         MessageState& state = stateOf(parser);
+        if (state.isHeadComplete)
+            return 0;
         state.isInValue = true;
         state.value.append(bytes, size);
         return 0;
--- a/libs/http1/tests/Http1Tests.cpp
+++ b/libs/http1/tests/Http1Tests.cpp
@@ -58,6 +58,20 @@
     cr_expect(bodyOf(parseRequest(head + "40\r\n")).empty());
 }
 
+// Guards against trailers that pile up.
+Test(requests, trailers_are_dropped)
+{
+    RequestParser parser(MessageLimits {});
+    std::vector<RequestEvent> events;
+    const std::string chunked = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "1\r\nc\r\n0\r\nTrailer: t\r\n\r\n";
+    cr_assert_eq(parser.feed(chunked, events), chunked.size());
+    cr_assert_eq(parser.feed("GET /b HTTP/1.1\r\nHost: h\r\n\r\n", events), 28U);
+    cr_assert_eq(events.size(), 5U);
+    cr_assert_eq(std::get<RequestHead>(events[0]).headers.count("Trailer"), 0U);
+    cr_assert_eq(std::get<RequestHead>(events[3]).headers.entries().size(), 1U);
+}
+
 Test(requests, fed_byte_by_byte_are_parsed)
 {
     RequestParser parser(MessageLimits {});
