Unfinished requests are held within the memory of the process

Callers saw: callers that send most of a large request and keep the connection open ended the gateway for lack of memory, and everybody's requests with it. 60 of them with 1 MB each took 55 to 79 MB of a process with 48, whether the bytes came whole, in pieces, or in chunks of any size; heads of many short fields took 60 MB, as each field is kept as two strings.

Cause: nothing knew what callers make the process hold. A body grew by doubling, so it took up to three times its size; each piece became a string and an event of its own; pipelined bytes were not counted at all.

Now each request that is being received, and each one that is being served, has its memory counted in RequestMemory (new library capacity, no network), which has two fifths of memory_mb. When that is full, unfinished requests give way, weighed by size and age: their callers get 503 with Retry-After, which is true, as nothing was sent to a target. An eighth stays free for requests up to 64 KB, so ordinary callers are served whatever a crowd holds. Bodies are collected in blocks of up to 64 KB, and the parser merges the parts of a read.

Not chosen: to stop reading instead of refusing. What waits in the kernel counts for the process too on the users' platform, and a crowd that never ends its requests would hold all memory until its time limit.

--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -1,7 +1,11 @@
 #include "CallerConnection.h"
 
+#include "Durations.h"
+#include "Statuses.h"
 #include "telemetry/Telemetry.h"
 
+#include <algorithm>
+
 namespace citronspoke::gateway {
 
 namespace {
@@ -10,6 +14,10 @@
     /** Bytes of a stream that are held for a caller before the target's response is read on;
      * streams of tokens have a few kilobytes. */
     constexpr size_t MaxRelayedBytes = size_t { 256 } << 10;
+    /** After this, half of it more or less, a request may find memory that it did not find now. */
+    constexpr Milliseconds MemoryRetryAfter { 1000 };
+    /** Callers accept a wait of at most this fraction (1/n) of their remaining time. */
+    constexpr int RetryAfterDivisor = 3;
 
     http1::MessageLimits messageLimits(const GatewayContext& context)
     {
@@ -70,30 +78,43 @@
 
 void CallerConnection::onBytes(std::string_view bytes)
 {
-    m_pending.append(bytes);
-    if (m_handler) {
-        // Pipelined requests wait; their size is bounded.
-        if (m_pending.size() > MaxPendingBytes)
-            close();
+    if (m_hasStoppedReceiving)
         return;
-    }
-    parsePending();
+    const std::shared_ptr<CallerConnection> self = shared_from_this();
+    if (m_pending.empty())
+        bytes.remove_prefix(parse(bytes));
+    if (m_hasStoppedReceiving || m_isClosed)
+        return;
+    // Pipelined requests wait; their size is bounded.
+    m_pending.append(bytes);
+    if (m_pending.size() > MaxPendingBytes)
+        close();
+    else
+        countHeld();
 }
 
 void CallerConnection::parsePending()
 {
-    const std::shared_ptr<CallerConnection> self = shared_from_this();
-    while (!m_pending.empty() && !m_handler && !m_isClosed) {
+    const std::string pending = std::exchange(m_pending, {});
+    const size_t used = parse(pending);
+    if (m_hasStoppedReceiving || m_isClosed)
+        return;
+    m_pending = pending.substr(used);
+    countHeld();
+}
+
+size_t CallerConnection::parse(std::string_view bytes)
+{
+    size_t used = 0;
+    while (used < bytes.size() && !m_handler && !m_hasStoppedReceiving && !m_isClosed) {
         const bool wasBetweenMessages = m_parser.isBetweenMessages();
         std::vector<http1::RequestEvent> events;
-        size_t used = 0;
         try {
-            used = m_parser.feed(m_pending, events);
+            used += m_parser.feed(bytes.substr(used), events);
         } catch (const http1::MessageRejected& rejected) {
             reject(rejected.fault());
-            return;
+            return used;
         }
-        m_pending.erase(0, used);
         for (http1::RequestEvent& event : events)
             onEvent(event);
         if (m_isRequestComplete)
@@ -101,17 +122,20 @@
         else if (wasBetweenMessages != m_parser.isBetweenMessages())
             armTimer();
     }
+    return used;
 }
 
 void CallerConnection::onEvent(http1::RequestEvent& event)
 {
     if (http1::RequestHead* head = std::get_if<http1::RequestHead>(&event)) {
         m_request.head = std::move(*head);
-        m_request.body.clear();
+        m_request.body.reset();
         if (m_request.head.expectsContinue)
             m_connection->write("HTTP/1.1 100 Continue\r\n\r\n");
     } else if (const http1::BodyPart* part = std::get_if<http1::BodyPart>(&event)) {
-        m_request.body.append(part->bytes);
+        if (!m_request.body)
+            m_request.body = std::make_shared<http1::Body>();
+        m_request.body->append(part->bytes);
     } else {
         m_isRequestComplete = true;
     }
@@ -120,6 +144,11 @@
 void CallerConnection::startHandler()
 {
     m_isRequestComplete = false;
+    if (!holdMemory()) {
+        giveWay();
+        return;
+    }
+    m_request.held = std::move(m_held);
     m_timer.cancel();
     m_request.receivedAt = steadyNow();
     if (!m_request.head.isPersistent)
@@ -221,6 +250,65 @@
     });
 }
 
+bool CallerConnection::holdMemory()
+{
+    const SteadyTime now = steadyNow();
+    // Destroyed with this object, and then not called any more.
+    if (!m_held)
+        m_held = std::make_unique<capacity::HeldMemory>(
+            m_context.requestMemory, [this] { giveWay(); }, now);
+    return m_held->resize(
+        m_pending.capacity() + m_parser.heldBytes() + m_request.memoryBytes(), now);
+}
+
+void CallerConnection::countHeld()
+{
+    if (m_pending.empty() && m_parser.isBetweenMessages())
+        m_held.reset();
+    else if (!holdMemory())
+        giveWay();
+}
+
+void CallerConnection::giveWay()
+{
+    telemetry::logWarning("caller", "Dropped an unfinished request: its memory is needed.",
+        { { "held", std::to_string(m_held->bytes()) },
+            { "held_all", std::to_string(m_context.requestMemory->total()) } });
+    telemetry::count("refused_for_memory");
+    const Milliseconds wait = retryAfter();
+    stopReceiving();
+    // What gives way may be pipelined behind a request that is being served.
+    if (m_handler)
+        return;
+    http1::Headers headers;
+    headers.add("Retry-After", secondsText(wait));
+    respond(Unavailable, "Service Unavailable", headers, {});
+}
+
+void CallerConnection::stopReceiving()
+{
+    m_hasStoppedReceiving = true;
+    m_closesAfterResponse = true;
+    m_pending = {};
+    m_request = {};
+    m_held.reset();
+}
+
+Milliseconds CallerConnection::retryAfter()
+{
+    const Milliseconds spread(static_cast<int64_t>(
+        m_context.randomFraction() * static_cast<double>(MemoryRetryAfter.count())));
+    const Milliseconds wait = MemoryRetryAfter / 2 + spread;
+    try {
+        const std::optional<Milliseconds> timeLeft
+            = adapter::decodeCallerRequest(m_request.head).timeLeft;
+        return timeLeft ? std::clamp(*timeLeft / RetryAfterDivisor, Milliseconds(0), wait) : wait;
+    } catch (const adapter::DocumentUnreadable&) {
+        // The head has not been received, or the request would be rejected for it.
+        return wait;
+    }
+}
+
 void CallerConnection::reject(http1::ParseFault fault)
 {
     uint32_t status = 400;
@@ -235,8 +323,7 @@
     telemetry::logWarning("caller", "Rejected a request that is malformed or too large.",
         { { "status", std::to_string(status) } });
     telemetry::count("rejected_messages", { { "status", std::to_string(status) } });
-    m_closesAfterResponse = true;
-    m_pending.clear();
+    stopReceiving();
     respond(status, reason, {}, {});
 }
 
@@ -253,13 +340,13 @@
 
 void CallerConnection::onTimeout()
 {
-    if (m_handler || m_isClosed)
+    if (m_handler || m_hasStoppedReceiving || m_isClosed)
         return;
     if (isIdle()) {
         close();
         return;
     }
-    m_closesAfterResponse = true;
+    stopReceiving();
     respond(408, "Request Timeout", {}, {});
 }
 
--- a/apps/gateway/CallerConnection.h
+++ b/apps/gateway/CallerConnection.h
@@ -33,6 +33,8 @@
 
 private:
     void onBytes(std::string_view bytes);
+    /** @return number of bytes consumed; the others are for after the current request. */
+    size_t parse(std::string_view bytes);
     void parsePending();
     void onEvent(http1::RequestEvent& event);
     void startHandler();
@@ -43,6 +45,15 @@
     /** Static, because the end of a response may be sent after its caller's object is gone. */
     static void countUnsent(GatewayContext& context, const channels::ConnectionPointer& connection,
         const std::weak_ptr<CallerConnection>& caller);
+    /** Counts what is held of a request that is being received, and of those that follow it. */
+    void countHeld();
+    /** @return whether there is memory for what is held. */
+    bool holdMemory();
+    /** Refuses what has not been received as a whole: its memory is needed. */
+    void giveWay();
+    /** Drops what was received and has not been served, and what is still to come. */
+    void stopReceiving();
+    Milliseconds retryAfter();
     void reject(http1::ParseFault fault);
     void armTimer();
     void onTimeout();
@@ -54,10 +65,15 @@
     std::function<void()> m_onClosed;
     http1::RequestParser m_parser;
     channels::Timer m_timer;
+    /** Received while another request is served. */
     std::string m_pending;
     ReceivedRequest m_request;
+    /** Null while no request is being received. */
+    std::unique_ptr<capacity::HeldMemory> m_held;
     bool m_isRequestComplete = false;
     std::shared_ptr<RequestHandler> m_handler;
+    /** Nothing more that is received is a request. */
+    bool m_hasStoppedReceiving = false;
     bool m_closesAfterResponse = false;
     bool m_isClosed = false;
 };
--- a/apps/gateway/CrashQuarantine.cpp
+++ b/apps/gateway/CrashQuarantine.cpp
@@ -5,8 +5,8 @@
 
 namespace citronspoke::gateway {
 
-uint64_t CrashQuarantine::fingerprintOf(const http1::RequestHead& head, std::string_view body,
-    const std::optional<fleet::Prompt>& prompt)
+uint64_t CrashQuarantine::fingerprintOf(const http1::RequestHead& head,
+    std::span<const std::string> body, const std::optional<fleet::Prompt>& prompt)
 {
     std::string text = head.method;
     text.append(" ").append(head.headers.find("Host").value_or("")).append(head.target);
@@ -14,7 +14,10 @@
         for (const fleet::PromptPart& part : prompt->parts)
             text.append("/").append(part.id);
     }
-    return stableHash(text.append("\n").append(body));
+    uint64_t hash = stableHash(text.append("\n"));
+    for (const std::string& part : body)
+        hash = stableHash(part, hash);
+    return hash;
 }
 
 void CrashQuarantine::notePossibleCrash(uint64_t fingerprint, const fleet::TargetRecord& target)
--- a/apps/gateway/CrashQuarantine.h
+++ b/apps/gateway/CrashQuarantine.h
@@ -23,10 +23,11 @@
     void setPublisher(Publisher publisher) { m_publisher = std::move(publisher); }
 
     /**
+     * @param body its parts in order.
      * @return a hash of the request's method, host, path, prompt parts and body, the same for each
      *         attempt at the same work.
      */
-    static uint64_t fingerprintOf(const http1::RequestHead& head, std::string_view body,
+    static uint64_t fingerprintOf(const http1::RequestHead& head, std::span<const std::string> body,
         const std::optional<fleet::Prompt>& prompt);
 
     /** @return whether no request is suspected, so that no fingerprint is needed. */
--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -9,6 +9,12 @@
 
 namespace citronspoke::gateway {
 
+namespace {
+
+    constexpr size_t BytesPerMb = size_t { 1 } << 20;
+
+} // namespace
+
 duties::BootTime Clocks::bootNow()
 {
     constexpr int64_t MsPerSecond = 1000;
@@ -25,6 +31,9 @@
     , clocks(std::move(clocks))
     , settings(settings)
     , zone(settings.zone)
+    , capacity(capacity::callerCapacity(
+          settings.process.memoryMb * BytesPerMb, settings.process.descriptors))
+    , requestMemory(std::make_shared<capacity::RequestMemory>(capacity.requests))
     , targetConnections(loop, {})
     , evenLoads(EntryId(settings.id), settings.hasEvenLoad)
     , pacer(EntryId(settings.id), settings.limitNoticeTime)
--- a/apps/gateway/GatewayContext.h
+++ b/apps/gateway/GatewayContext.h
@@ -5,6 +5,7 @@
 #include "EvenLoads.h"
 #include "PartQuarantine.h"
 #include "PoolShares.h"
+#include "capacity/Capacity.h"
 #include "conditions/Conditions.h"
 #include "dispatch/Dispatch.h"
 #include "duties/Duties.h"
@@ -47,6 +48,8 @@
     Clocks clocks;
     const settings::GatewaySettings& settings;
     ZoneId zone;
+    capacity::CallerCapacity capacity;
+    std::shared_ptr<capacity::RequestMemory> requestMemory;
     channels::ConnectionPool targetConnections;
     dispatch::TargetDirectory directory;
     dispatch::PrefixCacheIndex prefixCacheIndex;
--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -65,6 +65,8 @@
 
 void RequestHandler::start()
 {
+    if (m_request.held)
+        m_request.held->beginService([] {});
     try {
         m_callerInfo = adapter::decodeCallerRequest(m_request.head);
     } catch (const adapter::DocumentUnreadable& unreadable) {
@@ -305,8 +307,9 @@
     if (isSecondAttempt || (isSuspect && !isRepeatable))
         maxIdle = Milliseconds(0);
     m_attempt->exchange = m_context.targetConnections.start({ target.address, target.id.text() },
-        adapter::composeTargetRequest(m_request.head, fields, m_request.body.size())
-            + m_request.body,
+        adapter::composeTargetRequest(
+            m_request.head, fields, m_request.body ? m_request.body->size() : 0)
+            + (m_request.body ? m_request.body->text() : std::string()),
         maxIdle, std::move(handlers));
     telemetry::logInfo("request", "Sent.",
         { { "id", m_callerInfo.attempt.text() }, { "attempt", std::to_string(m_attempts) },
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -7,8 +7,20 @@
 /** A caller's complete request. */
 struct ReceivedRequest {
     http1::RequestHead head;
-    std::string body;
+    /** Null without a body. */
+    std::shared_ptr<http1::Body> body;
     SteadyTime receivedAt;
+    /** What the request holds; null where nobody counts it. */
+    std::unique_ptr<capacity::HeldMemory> held {};
+
+    size_t memoryBytes() const noexcept
+    {
+        return head.memoryBytes() + (body ? body->memoryBytes() : 0);
+    }
+    std::span<const std::string> bodyBlocks() const noexcept
+    {
+        return body ? body->blocks() : std::span<const std::string>();
+    }
 };
 
 /** Writes the response to one request to its caller. */
--- a/apps/gateway/RequestHandlerQuarantine.cpp
+++ b/apps/gateway/RequestHandlerQuarantine.cpp
@@ -8,8 +8,8 @@
 uint64_t RequestHandler::fingerprint()
 {
     if (!m_fingerprint)
-        m_fingerprint
-            = CrashQuarantine::fingerprintOf(m_request.head, m_request.body, m_callerInfo.prompt);
+        m_fingerprint = CrashQuarantine::fingerprintOf(
+            m_request.head, m_request.bodyBlocks(), m_callerInfo.prompt);
     return *m_fingerprint;
 }
 
--- a/apps/gateway/tests/CrashTests.cpp
+++ b/apps/gateway/tests/CrashTests.cpp
@@ -43,11 +43,15 @@
 {
     const fleet::Prompt prompt { "m", 100, 10, { { "5c1e", 80 }, { "91bd", 20 } } };
     const fleet::Prompt other { "m", 100, 10, { { "5c1e", 80 }, { "ffff", 20 } } };
-    const uint64_t first = CrashQuarantine::fingerprintOf(head("/a/x", "1"), "body", prompt);
-    cr_expect_eq(first, CrashQuarantine::fingerprintOf(head("/a/x", "2"), "body", prompt));
-    cr_expect_neq(first, CrashQuarantine::fingerprintOf(head("/a/y", "1"), "body", prompt));
-    cr_expect_neq(first, CrashQuarantine::fingerprintOf(head("/a/x", "1"), "other", prompt));
-    cr_expect_neq(first, CrashQuarantine::fingerprintOf(head("/a/x", "1"), "body", other));
+    const std::vector<std::string> body { "body" };
+    const std::vector<std::string> parts { "bo", "dy" };
+    const std::vector<std::string> otherBody { "other" };
+    const uint64_t first = CrashQuarantine::fingerprintOf(head("/a/x", "1"), body, prompt);
+    cr_expect_eq(first, CrashQuarantine::fingerprintOf(head("/a/x", "2"), body, prompt));
+    cr_expect_eq(first, CrashQuarantine::fingerprintOf(head("/a/x", "2"), parts, prompt));
+    cr_expect_neq(first, CrashQuarantine::fingerprintOf(head("/a/y", "1"), body, prompt));
+    cr_expect_neq(first, CrashQuarantine::fingerprintOf(head("/a/x", "1"), otherBody, prompt));
+    cr_expect_neq(first, CrashQuarantine::fingerprintOf(head("/a/x", "1"), body, other));
 }
 
 Test(crash_watch, bans_after_three_targets_counting_each_crash_once)
--- a/libs/http1/include/http1/Http1.h
+++ b/libs/http1/include/http1/Http1.h
@@ -3,6 +3,7 @@
 #include "kernel/Kernel.h"
 
 #include <cstdint>
+#include <span>
 #include <utility>
 #include <variant>
 
@@ -43,6 +44,8 @@
     /** @return the value of the first field of that name, valid until the fields change. */
     std::optional<std::string_view> find(std::string_view name) const;
     size_t count(std::string_view name) const;
+    /** @return bytes that the fields take in memory. */
+    size_t memoryBytes() const noexcept;
     std::vector<Header>& entries() noexcept { return m_entries; }
     const std::vector<Header>& entries() const noexcept { return m_entries; }
 
@@ -60,6 +63,9 @@
     Headers headers;
     bool isPersistent = true;
     bool expectsContinue = false;
+
+    /** @return bytes that the head takes in memory. */
+    size_t memoryBytes() const noexcept;
 };
 
 /** How the end of a body is determined. */
@@ -75,6 +81,7 @@
     bool isPersistent = true;
 };
 
+/** Part of a body, as it was received. A parser merges the parts that one call to it yields. */
 struct BodyPart {
     std::string bytes;
 };
@@ -83,6 +90,24 @@
 using RequestEvent = std::variant<RequestHead, BodyPart, MessageEnd>;
 using ResponseEvent = std::variant<ResponseHead, BodyPart, MessageEnd>;
 
+/** A body in blocks, so that it grows without being copied. */
+class Body {
+public:
+    void append(std::string_view bytes);
+    size_t size() const noexcept { return m_size; }
+    /** @return bytes that the body takes in memory. */
+    size_t memoryBytes() const noexcept { return m_memoryBytes; }
+    /** @return the bytes in order. */
+    std::span<const std::string> blocks() const noexcept { return m_blocks; }
+    /** @return a copy of all bytes. */
+    std::string text() const;
+
+private:
+    std::vector<std::string> m_blocks;
+    size_t m_size = 0;
+    size_t m_memoryBytes = 0;
+};
+
 /** Largest message that a server accepts, in bytes. */
 struct MessageLimits {
     size_t headBytes = 16384;
@@ -106,6 +131,8 @@
     size_t feed(std::string_view bytes, std::vector<RequestEvent>& events);
     /** @return whether no byte of a next request has been received. */
     bool isBetweenMessages() const noexcept;
+    /** @return bytes of an unfinished head that the parser holds. */
+    size_t heldBytes() const noexcept;
 
 private:
     struct State;
--- a/libs/http1/src/Headers.cpp
+++ b/libs/http1/src/Headers.cpp
@@ -50,6 +50,30 @@
     return {};
 }
 
+namespace {
+
+    /** @return bytes that a string takes beside its object; short ones are within it. */
+    size_t heapBytes(const std::string& text)
+    {
+        static const size_t InnerCapacity = std::string().capacity();
+        return text.capacity() > InnerCapacity ? text.capacity() + 1 : 0;
+    }
+
+} // namespace
+
+size_t Headers::memoryBytes() const noexcept
+{
+    size_t bytes = m_entries.capacity() * sizeof(Header);
+    for (const Header& header : m_entries)
+        bytes += heapBytes(header.name) + heapBytes(header.value);
+    return bytes;
+}
+
+size_t RequestHead::memoryBytes() const noexcept
+{
+    return heapBytes(method) + heapBytes(target) + headers.memoryBytes();
+}
+
 bool equalsIgnoringCase(std::string_view left, std::string_view right) noexcept
 {
     return left.size() == right.size()
--- a/libs/http1/src/MessageState.h
+++ b/libs/http1/src/MessageState.h
@@ -30,6 +30,14 @@
 /** @return settings with callbacks that fill the MessageState to which the parser's data points. */
 http_parser_settings baseSettings();
 
+/** Appends bytes of a body to the part that the events end with, or as a new part. */
+template <typename Event> void appendBody(std::vector<Event>& events, std::string_view bytes)
+{
+    if (events.empty() || !std::holds_alternative<BodyPart>(events.back()))
+        events.push_back(BodyPart {});
+    std::get<BodyPart>(events.back()).bytes.append(bytes);
+}
+
 /**
  * Checks line ends and field names, for which http_parser is too lenient.
  * @param head including the empty line at its end.
--- a/libs/http1/src/RequestParser.cpp
+++ b/libs/http1/src/RequestParser.cpp
@@ -37,7 +37,7 @@
         message.isHeadComplete = true;
         RequestHead head;
         head.method = http_method_str(static_cast<http_method>(parser->method));
-        head.target = message.requestTarget;
+        head.target = std::move(message.requestTarget);
         head.headers = std::move(message.headers);
         head.isPersistent = http_should_keep_alive(parser) != 0;
         const std::optional<std::string_view> expected = head.headers.find("expect");
@@ -67,7 +67,7 @@
         if (state.bodyBytes > state.limits.bodyBytes)
             state.isBodyTooLarge = true;
         else
-            state.events->push_back(BodyPart { std::string(bytes, size) });
+            appendBody(*state.events, { bytes, size });
         return 0;
     }
 
@@ -141,18 +141,20 @@
         if (!state.head.ends_with(HeadEnd))
             return used;
         checkHead(state.head);
-        state.execute(state.head);
+        const std::string head = std::exchange(state.head, {});
+        state.execute(head);
     }
     if (!state.message.isComplete && used < bytes.size())
         used += state.execute(bytes.substr(used));
     if (state.message.isComplete) {
         state.message.resetFor(HTTP_REQUEST);
-        state.head.clear();
         state.bodyBytes = 0;
     }
     return used;
 }
 
+size_t RequestParser::heldBytes() const noexcept { return m_state->head.capacity(); }
+
 bool RequestParser::isBetweenMessages() const noexcept
 {
     return m_state->head.empty() && !m_state->message.isHeadComplete;
--- a/libs/http1/src/ResponseParser.cpp
+++ b/libs/http1/src/ResponseParser.cpp
@@ -68,7 +68,7 @@
 
     static int onBody(http_parser* parser, const char* bytes, size_t size)
     {
-        of(parser).events->push_back(BodyPart { std::string(bytes, size) });
+        appendBody(*of(parser).events, { bytes, size });
         return 0;
     }
 
--- a/libs/http1/tests/Http1Tests.cpp
+++ b/libs/http1/tests/Http1Tests.cpp
@@ -181,3 +181,29 @@
     cr_assert_eq(events[1].id.value_or(0), 2U);
     cr_assert(splitter.hasPartialEvent());
 }
+
+// Guards against bodies that take a multiple of their size while they grow.
+Test(bodies, take_little_more_memory_than_their_size)
+{
+    constexpr size_t Size = size_t { 1 } << 20;
+    for (const size_t pieceBytes : { size_t { 1 }, size_t { 1000 }, size_t { 16384 }, Size }) {
+        Body body;
+        std::string whole;
+        while (whole.size() < Size) {
+            const std::string piece(pieceBytes, static_cast<char>('a' + whole.size() % 26));
+            body.append(piece);
+            whole += piece;
+        }
+        cr_expect(body.text() == whole);
+        cr_expect_eq(body.size(), whole.size());
+        cr_expect_leq(body.memoryBytes(), whole.size() + whole.size() / 8);
+    }
+}
+
+Test(bodies, small_ones_take_one_block)
+{
+    Body body;
+    body.append("ab");
+    cr_expect_eq(body.blocks().size(), 1U);
+    cr_expect_leq(body.memoryBytes(), 100U);
+}
