Requests are sent to targets without copies of their bodies

The connection's buffers also kept their capacity, so idle connections held as much as their largest request.

A connection's queue now holds bodies that are shared with the request, and writes them with one gathering call; its memory is released when it has been sent.

--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -308,9 +308,8 @@
         maxIdle = Milliseconds(0);
     m_attempt->exchange = m_context.targetConnections.start({ target.address, target.id.text() },
         adapter::composeTargetRequest(
-            m_request.head, fields, m_request.body ? m_request.body->size() : 0)
-            + (m_request.body ? m_request.body->text() : std::string()),
-        maxIdle, std::move(handlers));
+            m_request.head, fields, m_request.body ? m_request.body->size() : 0),
+        m_request.body, maxIdle, std::move(handlers));
     telemetry::logInfo("request", "Sent.",
         { { "id", m_callerInfo.attempt.text() }, { "attempt", std::to_string(m_attempts) },
             { "step", std::string(stepName(step)) }, { "target", target.id.text() },
--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -84,6 +84,8 @@
     /** Replaces the handlers; the first call also starts to read. */
     virtual void start(Handlers handlers) = 0;
     virtual void write(std::string bytes) = 0;
+    /** Writes a body without copying it. @param body may be null for none. */
+    virtual void write(std::shared_ptr<const http1::Body> body) = 0;
     /** @return number of bytes not yet handed to the operating system. */
     virtual size_t unsentBytes() const = 0;
     /** While nothing is read, the peer can send only as much as the operating system holds. */
@@ -188,11 +190,13 @@
 
     /**
      * Sends a request over an idle connection or a new one.
-     * @param request head and body in wire form.
+     * @param request in wire form, without its body if @p body is not null.
+     * @param body not copied; it may be shared with other requests.
      * @param maxIdleAge connections that have been idle for this long or longer are not used for
      *        this request, but stay available to others.
      */
-    ExchangePointer start(const PeerKey& peer, std::string request, Milliseconds maxIdleAge,
+    ExchangePointer start(const PeerKey& peer, std::string request,
+        std::shared_ptr<const http1::Body> body, Milliseconds maxIdleAge,
         Exchange::Handlers handlers);
     /** @return whether an idle connection to the peer can be reused now. */
     bool hasIdle(const PeerKey& peer) const;
--- a/libs/channels/src/Call.cpp
+++ b/libs/channels/src/Call.cpp
@@ -63,7 +63,8 @@
             self->finish(std::nullopt);
     };
     constexpr Milliseconds AnyIdleAge = Milliseconds::max() / 1000000;
-    pending->exchange = pool.start(peer, std::move(request), AnyIdleAge, std::move(handlers));
+    pending->exchange
+        = pool.start(peer, std::move(request), nullptr, AnyIdleAge, std::move(handlers));
     pending->timer.arm(limit, [weak] {
         const std::shared_ptr<PendingCall> self = weak.lock();
         if (!self)
--- a/libs/channels/src/Connection.cpp
+++ b/libs/channels/src/Connection.cpp
@@ -27,6 +27,21 @@
     constexpr int KeepAliveIntervalSeconds = 1;
     constexpr int KeepAliveProbes = 2;
 
+    /** Bytes that wait to be sent. */
+    using Segment = std::variant<std::string, std::shared_ptr<const http1::Body>>;
+
+    /** Adds the buffers of a segment to a list. */
+    struct AppendBuffers {
+        std::vector<asio::const_buffer>& buffers;
+
+        void operator()(const std::string& bytes) const { buffers.push_back(asio::buffer(bytes)); }
+        void operator()(const std::shared_ptr<const http1::Body>& body) const
+        {
+            for (const std::string& block : body->blocks())
+                buffers.push_back(asio::buffer(block));
+        }
+    };
+
     class TcpConnection final : public Connection {
     public:
         explicit TcpConnection(asio::io_context& context)
@@ -79,9 +94,22 @@
             if (m_isClosed)
                 return;
             m_unsentSize += bytes.size();
-            m_queuedBytes.append(bytes);
-            if (!m_isConnecting && m_writeBuffer.empty())
-                writeQueued();
+            std::string* last
+                = m_queued.empty() ? nullptr : std::get_if<std::string>(&m_queued.back());
+            if (last)
+                last->append(bytes);
+            else
+                m_queued.emplace_back(std::move(bytes));
+            writeQueued();
+        }
+
+        void write(std::shared_ptr<const http1::Body> body) override
+        {
+            if (m_isClosed || !body)
+                return;
+            m_unsentSize += body->size();
+            m_queued.emplace_back(std::move(body));
+            writeQueued();
         }
 
         size_t unsentBytes() const override { return m_unsentSize; }
@@ -111,6 +139,7 @@
             if (m_unsentSize > 0 || !m_isWriteShutDown)
                 m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
             m_socket.close(ignored);
+            m_queued.clear();
             m_handlers = std::make_shared<Handlers>();
         }
 
@@ -142,8 +171,7 @@
                 runHandler(handlers->onConnected);
             if (m_isClosed)
                 return;
-            if (!m_queuedBytes.empty() && m_writeBuffer.empty())
-                writeQueued();
+            writeQueued();
             continueReading();
         }
 
@@ -182,26 +210,37 @@
 
         void writeQueued()
         {
-            m_writeBuffer.swap(m_queuedBytes);
-            asio::async_write(m_socket, asio::buffer(m_writeBuffer),
-                [self = shared()](
-                    const asio::error_code& error, size_t size) { self->onWritten(error, size); });
+            if (m_isConnecting || !m_writing.empty() || m_queued.empty())
+                return;
+            m_writing.swap(m_queued);
+            const auto handler = [self = shared()](const asio::error_code& error, size_t size) {
+                self->onWritten(error, size);
+            };
+            const std::string* only
+                = m_writing.size() == 1 ? std::get_if<std::string>(&m_writing.front()) : nullptr;
+            if (only) {
+                asio::async_write(m_socket, asio::buffer(*only), handler);
+                return;
+            }
+            std::vector<asio::const_buffer> buffers;
+            for (const Segment& segment : m_writing)
+                std::visit(AppendBuffers { buffers }, segment);
+            asio::async_write(m_socket, buffers, handler);
         }
 
         void onWritten(const asio::error_code& error, size_t size)
         {
+            m_writing.clear();
             if (m_isClosed)
                 return;
             m_unsentSize -= std::min(m_unsentSize, size);
-            m_writeBuffer.clear();
             if (error) {
                 closeAndReport(ConnectionEnd::Broken);
                 return;
             }
-            if (!m_queuedBytes.empty())
-                writeQueued();
-            else if (m_closesAfterWrites)
+            if (m_queued.empty() && m_closesAfterWrites)
                 shutDownWriting();
+            writeQueued();
             const std::shared_ptr<Handlers> handlers = m_handlers;
             if (handlers->onWritten)
                 runHandler(handlers->onWritten);
@@ -252,8 +291,8 @@
         /** Shared, because a running handler may replace the handlers. */
         std::shared_ptr<Handlers> m_handlers = std::make_shared<Handlers>();
         std::array<char, ReadBufferBytes> m_input {};
-        std::string m_queuedBytes;
-        std::string m_writeBuffer;
+        std::vector<Segment> m_queued;
+        std::vector<Segment> m_writing;
         size_t m_unsentSize = 0;
         bool m_isConnecting = false;
         bool m_isReading = false;
--- a/libs/channels/src/ConnectionPool.cpp
+++ b/libs/channels/src/ConnectionPool.cpp
@@ -75,7 +75,8 @@
 
         ~PooledExchange() override { cancel(); }
 
-        void begin(PooledPointer pooled, std::string request)
+        void begin(
+            PooledPointer pooled, std::string request, std::shared_ptr<const http1::Body> body)
         {
             m_pooled = std::move(pooled);
             m_isReused = m_pooled->isReused;
@@ -96,6 +97,7 @@
             };
             m_pooled->connection->start(std::move(handlers));
             m_pooled->connection->write(std::move(request));
+            m_pooled->connection->write(std::move(body));
         }
 
         void cancel() override
@@ -313,8 +315,8 @@
 
 ConnectionPool::~ConnectionPool() = default;
 
-ExchangePointer ConnectionPool::start(
-    const PeerKey& peer, std::string request, Milliseconds maxIdleAge, Exchange::Handlers handlers)
+ExchangePointer ConnectionPool::start(const PeerKey& peer, std::string request,
+    std::shared_ptr<const http1::Body> body, Milliseconds maxIdleAge, Exchange::Handlers handlers)
 {
     const std::shared_ptr<PooledExchange> exchange
         = std::make_shared<PooledExchange>(m_implementation, peer, std::move(handlers));
@@ -325,7 +327,7 @@
             m_implementation->loop, peer.address, m_implementation->options.connectTimeout);
         m_implementation->openedCount += 1;
     }
-    exchange->begin(std::move(pooled), std::move(request));
+    exchange->begin(std::move(pooled), std::move(request), std::move(body));
     return exchange;
 }
 
--- a/libs/channels/tests/ChannelTests.cpp
+++ b/libs/channels/tests/ChannelTests.cpp
@@ -83,7 +83,7 @@
 {
     Result result;
     const ExchangePointer exchange
-        = pool.start({ address, "target" }, Request, Limit, collect(loop, result));
+        = pool.start({ address, "target" }, Request, nullptr, Limit, collect(loop, result));
     Timer timer(loop);
     timer.arm(Limit, [&loop] { loop.stop(); });
     loop.run();
@@ -180,7 +180,7 @@
         return head.headers.find("X-Of").value_or("") == "this";
     };
     const ExchangePointer exchange
-        = pool.start({ server.address(), "target" }, Request, Limit, std::move(handlers));
+        = pool.start({ server.address(), "target" }, Request, nullptr, Limit, std::move(handlers));
     loop.run();
     cr_assert(result.end == ExchangeEnd::Complete);
     cr_assert(result.body == "new");
@@ -236,7 +236,7 @@
     ConnectionPool pool(loop, {});
     cr_assert(runExchange(loop, pool, server.address()).end == ExchangeEnd::Complete);
     const ExchangePointer unanswered
-        = pool.start({ server.address(), "target" }, Request, Milliseconds(0), {});
+        = pool.start({ server.address(), "target" }, Request, nullptr, Milliseconds(0), {});
     cr_assert(runExchange(loop, pool, server.address()).end == ExchangeEnd::Complete);
     cr_assert_eq(pool.connectionsOpened(), 2U,
         "The first two requests open one connection each, the third reuses one.");
