Responses are held within the memory of the process

Callers saw: 60 small requests at once, whose responses have 1 MB each, took 94 MB of a process with 48. Nothing is wrong with such requests, but they end the process and everybody's requests with it.

Cause: a response that is no stream is held until it is whole, and nothing counted that. A string that grows by doubling took up to three times its size, and the response to the caller was a further copy.

A held response counts as memory of its request. When RequestMemory is full, unfinished requests give way to it; without one, the response is not read on until memory is released. One request may exceed the limit, so that there is always one that ends. The body is collected in blocks, which the caller's connection shares. What callers leave unread has a fifth of memory_mb, 24 MB at most as before; memory_mb is at least 32, so that one whole response fits.

--- a/apps/gateway/CallerBuffers.cpp
+++ b/apps/gateway/CallerBuffers.cpp
@@ -17,7 +17,7 @@
         held.progressAt = now;
     m_total += bytes - held.bytes;
     held.bytes = bytes;
-    while (m_total > MaxBytes)
+    while (m_total > m_maxBytes)
         disconnectSlowest(now);
 }
 
--- a/apps/gateway/CallerBuffers.h
+++ b/apps/gateway/CallerBuffers.h
@@ -14,15 +14,19 @@
  */
 class CallerBuffers {
 public:
-    /** Above this, no more is read from a target for a caller for whom bytes are held. */
-    static constexpr size_t PauseBytes = size_t { 12 } << 20;
-    /** A gateway has 120 MB at least, of which this is a fifth. */
-    static constexpr size_t MaxBytes = size_t { 24 } << 20;
+    /**
+     * @param maxBytes most that is held for all callers. Above half of it, no more is read from a
+     *        target for a caller for whom bytes are held.
+     */
+    explicit CallerBuffers(size_t maxBytes)
+        : m_maxBytes(maxBytes)
+    {
+    }
 
     /**
      * The bytes that are held for a caller have changed.
      * @param caller identifies the caller's connection.
-     * @param disconnect called at most once, when the callers' bytes are more than MaxBytes and
+     * @param disconnect called at most once, when the callers' bytes are more than the most and
      *        this one's are the most that have made no progress.
      */
     void update(
@@ -30,7 +34,7 @@
     /** The connection is closed. */
     void remove(const void* caller);
     size_t total() const noexcept { return m_total; }
-    bool isFull() const noexcept { return m_total > PauseBytes; }
+    bool isFull() const noexcept { return m_total > m_maxBytes / 2; }
 
 private:
     struct Held {
@@ -41,6 +45,7 @@
     void disconnectSlowest(SteadyTime now);
 
     std::unordered_map<const void*, Held> m_held;
+    size_t m_maxBytes;
     size_t m_total = 0;
 };
 
--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -166,13 +166,13 @@
     }
 }
 
-void CallerConnection::respond(
-    uint32_t status, std::string_view reason, const http1::Headers& headers, std::string_view body)
+void CallerConnection::respond(uint32_t status, std::string_view reason,
+    const http1::Headers& headers, std::shared_ptr<const http1::Body> body)
 {
     http1::Headers whole = headers;
-    whole.add("Content-Length", std::to_string(body.size()));
+    whole.add("Content-Length", std::to_string(body ? body->size() : 0));
     addConnectionField(whole);
-    m_connection->write(http1::composeResponse(status, reason, whole).append(body));
+    m_connection->write(http1::composeResponse(status, reason, whole), std::move(body));
     updateBuffers();
     finishResponse();
 }
--- a/apps/gateway/CallerConnection.h
+++ b/apps/gateway/CallerConnection.h
@@ -23,7 +23,7 @@
     bool isIdle() const noexcept { return !m_handler && m_parser.isBetweenMessages(); }
 
     void respond(uint32_t status, std::string_view reason, const http1::Headers& headers,
-        std::string_view body) override;
+        std::shared_ptr<const http1::Body> body) override;
     void beginBody(
         uint32_t status, std::string_view reason, const http1::Headers& headers) override;
     void writeBody(std::string_view bytes) override;
--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -39,6 +39,7 @@
     , pacer(EntryId(settings.id), settings.limitNoticeTime)
     , retryBudget({ settings.retries.share, settings.retries.fixedPart, settings.retries.window },
           steadyNow())
+    , callerBuffers(capacity.unsentBytes)
     , m_random(std::random_device {}())
 {
 }
--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -65,8 +65,14 @@
 
 void RequestHandler::start()
 {
-    if (m_request.held)
-        m_request.held->beginService([] {});
+    if (m_request.held) {
+        m_request.held->beginService([weak = weak_from_this(), &loop = m_context.loop] {
+            loop.post([weak] {
+                if (const std::shared_ptr<RequestHandler> self = weak.lock())
+                    self->continueHolding();
+            });
+        });
+    }
     try {
         m_callerInfo = adapter::decodeCallerRequest(m_request.head);
     } catch (const adapter::DocumentUnreadable& unreadable) {
@@ -262,6 +268,7 @@
     m_attempt->load = load;
     m_attempt->tokensToPrefill = load.tokensToPrefill();
     m_attempt->startedAt = steadyNow();
+    countHeld();
     m_attempt->expected = std::exchange(m_expected, std::nullopt);
     noteWorkSent();
     fields.target = target.id;
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -27,9 +27,9 @@
 class ResponseWriter {
 public:
     virtual ~ResponseWriter() = default;
-    /** Writes a complete response. */
+    /** Writes a complete response. @param body null for none. */
     virtual void respond(uint32_t status, std::string_view reason, const http1::Headers& headers,
-        std::string_view body)
+        std::shared_ptr<const http1::Body> body)
         = 0;
     /** Begins a response whose body follows in parts. */
     virtual void beginBody(uint32_t status, std::string_view reason, const http1::Headers& headers)
@@ -96,7 +96,8 @@
         std::optional<http1::ResponseHead> head;
         SteadyTime headReceivedAt;
         adapter::ResponseInfo responseInfo;
-        std::string body;
+        /** The response as far as it is held until it is whole. */
+        std::shared_ptr<http1::Body> body = std::make_shared<http1::Body>();
         http1::EventSplitter splitter;
         /** Complete events that the target has sent. */
         uint64_t events = 0;
@@ -127,7 +128,7 @@
     /** A target's own response that is not a success. */
     struct TargetFailure {
         http1::ResponseHead head;
-        std::string body;
+        std::shared_ptr<const http1::Body> body;
     };
 
     using TargetStates = std::vector<dispatch::TargetState*>;
@@ -227,6 +228,11 @@
     void onHead(const http1::ResponseHead& head);
     void onBody(std::string_view bytes);
     void relayEvents(std::string_view bytes);
+    /** Counts the memory of the request and of the responses that are held for it.
+     * @return whether the response should be read on. */
+    bool countHeld();
+    /** There is memory again for a response that is held until it is whole. */
+    void continueHolding();
     /** Breaks the attempt off because its target sends more than any response has. */
     void endOversizedAttempt();
     void onEnd(channels::ExchangeEnd end);
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -145,11 +145,32 @@
             endOversizedAttempt();
         return;
     }
-    m_attempt->body.append(bytes);
+    m_attempt->body->append(bytes);
     const size_t limit
         = m_attempt->step == Step::Prefill ? MaxPrefillResponseBytes : MaxBufferedResponseBytes;
-    if (m_attempt->body.size() > limit)
+    if (m_attempt->body->size() > limit) {
         endOversizedAttempt();
+    } else if (!countHeld()) {
+        telemetry::count("responses_held_off");
+        m_attempt->wasPaused = true;
+        m_attempt->exchange->setReading(false);
+    }
+}
+
+bool RequestHandler::countHeld()
+{
+    if (!m_request.held)
+        return true;
+    size_t bytes = m_request.memoryBytes() + m_attempt->body->memoryBytes();
+    if (m_targetFailure)
+        bytes += m_targetFailure->body->memoryBytes();
+    return m_request.held->resize(bytes, steadyNow());
+}
+
+void RequestHandler::continueHolding()
+{
+    if (!m_isOver && m_attempt && !m_attempt->isRelayed && m_attempt->exchange)
+        m_attempt->exchange->setReading(true);
 }
 
 void RequestHandler::endOversizedAttempt()
@@ -230,7 +251,8 @@
     if (!m_attempt->responseInfo.isSigned || m_attempt->splitter.hasPartialEvent())
         return Outcome::Unknown;
     // Without a length, a response that has only begun looks like a complete one.
-    const bool isEmpty = m_attempt->isRelayed ? m_attempt->events == 0 : m_attempt->body.empty();
+    const bool isEmpty
+        = m_attempt->isRelayed ? m_attempt->events == 0 : m_attempt->body->size() == 0;
     if (isEmpty && m_attempt->head->framing == http1::BodyFraming::UntilClose)
         return Outcome::Unknown;
     return Outcome::Served;
@@ -276,7 +298,7 @@
     if (outcome == Outcome::Served) {
         try {
             m_prefilledPrompt = PrefilledPrompt { m_attempt->target,
-                adapter::decodePromptHandle(m_attempt->body) };
+                adapter::decodePromptHandle(m_attempt->body->text()) };
             m_context.notePrefilled(m_attempt->target, m_attempt->tokensToPrefill,
                 m_attempt->tokensAhead, since(m_attempt->startedAt));
             if (m_attempt->expected)
--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -84,8 +84,9 @@
     /** Replaces the handlers; the first call also starts to read. */
     virtual void start(Handlers handlers) = 0;
     virtual void write(std::string bytes) = 0;
-    /** Writes a body without copying it. @param body may be null for none. */
-    virtual void write(std::shared_ptr<const http1::Body> body) = 0;
+    /** Writes the head of a message and its body, which is not copied. @param body null for none.
+     */
+    virtual void write(std::string head, std::shared_ptr<const http1::Body> body) = 0;
     /** @return number of bytes not yet handed to the operating system. */
     virtual size_t unsentBytes() const = 0;
     /** While nothing is read, the peer can send only as much as the operating system holds. */
--- a/libs/channels/src/Connection.cpp
+++ b/libs/channels/src/Connection.cpp
@@ -89,26 +89,23 @@
             continueReading();
         }
 
-        void write(std::string bytes) override
+        void write(std::string bytes) override { write(std::move(bytes), nullptr); }
+
+        void write(std::string head, std::shared_ptr<const http1::Body> body) override
         {
             if (m_isClosed)
                 return;
-            m_unsentSize += bytes.size();
+            m_unsentSize += head.size();
             std::string* last
                 = m_queued.empty() ? nullptr : std::get_if<std::string>(&m_queued.back());
             if (last)
-                last->append(bytes);
+                last->append(head);
             else
-                m_queued.emplace_back(std::move(bytes));
-            writeQueued();
-        }
-
-        void write(std::shared_ptr<const http1::Body> body) override
-        {
-            if (m_isClosed || !body)
-                return;
-            m_unsentSize += body->size();
-            m_queued.emplace_back(std::move(body));
+                m_queued.emplace_back(std::move(head));
+            if (body) {
+                m_unsentSize += body->size();
+                m_queued.emplace_back(std::move(body));
+            }
             writeQueued();
         }
 
--- a/libs/channels/src/ConnectionPool.cpp
+++ b/libs/channels/src/ConnectionPool.cpp
@@ -96,8 +96,7 @@
                     self->onConnectionEnd(end);
             };
             m_pooled->connection->start(std::move(handlers));
-            m_pooled->connection->write(std::move(request));
-            m_pooled->connection->write(std::move(body));
+            m_pooled->connection->write(std::move(request), std::move(body));
         }
 
         void cancel() override
--- a/libs/settings/src/GatewayAndSidecarSettings.cpp
+++ b/libs/settings/src/GatewayAndSidecarSettings.cpp
@@ -37,7 +37,7 @@
         KeyRule { "", "usage_delay_s", ValueKind::Real, false, 0.1, 3600 },
         KeyRule { "", "clock_skew_ms", ValueKind::Integer, false, 0, 3600000 },
         KeyRule { "", "even_load", ValueKind::Flag, false },
-        KeyRule { "", "memory_mb", ValueKind::Integer, false, 16, 1 << 20 },
+        KeyRule { "", "memory_mb", ValueKind::Integer, false, 32, 1 << 20 },
         KeyRule { "", "max_descriptors", ValueKind::Integer, false, 128, 1 << 20 },
     };
 
@@ -46,7 +46,7 @@
         KeyRule { "", "zone", ValueKind::Text, true },
         KeyRule { "", "engine", ValueKind::Address, true },
         KeyRule { "", "operator", ValueKind::Address, true },
-        KeyRule { "", "memory_mb", ValueKind::Integer, false, 16, 1 << 20 },
+        KeyRule { "", "memory_mb", ValueKind::Integer, false, 32, 1 << 20 },
         KeyRule { "", "max_descriptors", ValueKind::Integer, false, 128, 1 << 20 },
     };
 
