Callers leave descriptors for targets, store and pages

Callers saw: callers that open many connections, send little and stay, took every descriptor of the gateway; then it reached neither targets nor store, and refused ordinary callers until the others had timed out. Meanwhile it accepted over and over: the kernel says at once that there is no descriptor. 400 connections to a process with 256 descriptors took 424 to 426.

Cause: nothing counted connections; connections that only wait for their peer to close belong to nobody. After a failed accept the listener tried again at once.

A listener has a limit on its open connections, those that are ending included. At the limit a connection that is ending is closed, else the one that has been idle for longest, else that with the oldest unfinished request; when all serve requests, the new one is closed, with nothing of it read.

--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -70,6 +70,15 @@
         close();
 }
 
+void CallerConnection::closeForRoom()
+{
+    telemetry::logWarning("caller", "Closed a connection: another caller needs it.",
+        { { "idle", isIdle() ? "yes" : "no" },
+            { "waited_ms", millisecondsText(since(m_waitingSince)) } });
+    telemetry::count("closed_for_room", { { "state", isIdle() ? "idle" : "receiving" } });
+    close();
+}
+
 void CallerConnection::endRequest()
 {
     if (m_handler)
@@ -329,6 +338,7 @@
 
 void CallerConnection::armTimer()
 {
+    m_waitingSince = steadyNow();
     const fleet::CallerLimits limits
         = m_context.routes ? m_context.routes->declaration().limits : fleet::CallerLimits {};
     const std::weak_ptr<CallerConnection> weak = weak_from_this();
--- a/apps/gateway/CallerConnection.h
+++ b/apps/gateway/CallerConnection.h
@@ -21,6 +21,12 @@
     /** Ends the request that is being served, if any, with a response: the process stops. */
     void endRequest();
     bool isIdle() const noexcept { return !m_handler && m_parser.isBetweenMessages(); }
+    /** @return whether a request is being served or answered. */
+    bool isServing() const noexcept { return m_handler || m_hasStoppedReceiving; }
+    /** @return since when the connection is idle or, if it is not, a request is being received. */
+    SteadyTime waitingSince() const noexcept { return m_waitingSince; }
+    /** Closes a connection that serves no request: another caller needs it. */
+    void closeForRoom();
 
     void respond(uint32_t status, std::string_view reason, const http1::Headers& headers,
         std::shared_ptr<const http1::Body> body) override;
@@ -65,6 +71,7 @@
     std::function<void()> m_onClosed;
     http1::RequestParser m_parser;
     channels::Timer m_timer;
+    SteadyTime m_waitingSince;
     /** Received while another request is served. */
     std::string m_pending;
     ReceivedRequest m_request;
--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -3,6 +3,8 @@
 #include "Durations.h"
 #include "telemetry/Telemetry.h"
 
+#include <tuple>
+
 namespace citronspoke::gateway {
 
 namespace {
@@ -62,6 +64,8 @@
     , m_roles(m_context, m_peers)
     , m_cacheInventory(m_context)
     , m_listener(std::make_unique<channels::Listener>(loop, fleet::requireAddress(settings.callers),
+          channels::Listener::Limits {
+              m_context.capacity.connections, [this] { return closeLongestWaiting(); } },
           [this](channels::ConnectionPointer connection) { accept(std::move(connection)); }))
     , m_readinessServer(loop, fleet::requireAddress(settings.readiness),
           [this](std::string_view) { return readinessPage(); })
@@ -249,6 +253,24 @@
     caller->start();
 }
 
+bool Gateway::closeLongestWaiting()
+{
+    const auto isEarlier = [](const std::shared_ptr<CallerConnection>& left,
+                               const std::shared_ptr<CallerConnection>& right) {
+        const auto rank = [](const CallerConnection& connection) {
+            return std::tuple(
+                connection.isServing(), !connection.isIdle(), connection.waitingSince());
+        };
+        return rank(*left) < rank(*right);
+    };
+    const auto found = std::min_element(m_connections.begin(), m_connections.end(), isEarlier);
+    if (found == m_connections.end() || (*found)->isServing())
+        return false;
+    const std::shared_ptr<CallerConnection> longest = *found;
+    longest->closeForRoom();
+    return true;
+}
+
 channels::StatusServer::Page Gateway::readinessPage() const
 {
     const bool isReady = m_context.routes && m_context.directory.size() > 0 && !m_context.stop;
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -49,6 +49,12 @@
     void expireTargets();
     void putTarget(const fleet::TargetRecord& record);
     void accept(channels::ConnectionPointer connection);
+    /**
+     * Closes the connection that has been idle for longest or, without one, that on which the
+     * oldest request is being received.
+     * @return false when all connections serve requests.
+     */
+    bool closeLongestWaiting();
     channels::StatusServer::Page readinessPage() const;
     channels::StatusServer::Page operatorPage(std::string_view target) const;
     void closeIdleConnections();
--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -13,6 +13,13 @@
 
     constexpr size_t BytesPerMb = size_t { 1 } << 20;
 
+    channels::ConnectionPool::Options poolOptions(const capacity::CallerCapacity& capacity)
+    {
+        channels::ConnectionPool::Options options;
+        options.idleTotal = capacity.idleTargetConnections;
+        return options;
+    }
+
 } // namespace
 
 duties::BootTime Clocks::bootNow()
@@ -34,7 +41,7 @@
     , capacity(capacity::callerCapacity(
           settings.process.memoryMb * BytesPerMb, settings.process.descriptors))
     , requestMemory(std::make_shared<capacity::RequestMemory>(capacity.requests))
-    , targetConnections(loop, {})
+    , targetConnections(loop, poolOptions(capacity))
     , evenLoads(EntryId(settings.id), settings.hasEvenLoad)
     , pacer(EntryId(settings.id), settings.limitNoticeTime)
     , retryBudget({ settings.retries.share, settings.retries.fixedPart, settings.retries.window },
--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -113,8 +113,19 @@
 public:
     using Handler = std::function<void(ConnectionPointer)>;
 
+    /** What to do when peers open many connections. */
+    struct Limits {
+        /** Connections that may be open at once, including those that are being closed. */
+        size_t connections = 0;
+        /**
+         * Closes one of the connections, because another one was accepted.
+         * @return false when none can be closed; the new one is closed then.
+         */
+        std::function<bool()> makeRoom;
+    };
+
     /** @throws ListenFailed when the address cannot be bound. */
-    Listener(EventLoop& loop, const fleet::Address& address, Handler handler);
+    Listener(EventLoop& loop, const fleet::Address& address, Limits limits, Handler handler);
     ~Listener();
     Listener(const Listener&) = delete;
     Listener& operator=(const Listener&) = delete;
@@ -179,6 +190,8 @@
         /** Idle connections are not reused after this, or sooner if the peer announces less. */
         Milliseconds idleLifetime { 10000 };
         size_t idlePerPeer = 64;
+        /** To all peers together. */
+        size_t idleTotal = 1024;
         /** Bytes before the response to a request, such as a late response to an earlier one, that
          * are skipped; an exchange with more is broken. */
         size_t skippedBytes = size_t { 1 } << 20;
--- a/libs/channels/src/ConnectionPool.cpp
+++ b/libs/channels/src/ConnectionPool.cpp
@@ -57,6 +57,7 @@
     EventLoop& loop;
     Options options;
     std::map<PeerKey, std::list<PooledPointer>> idle;
+    size_t idleCount = 0;
     uint64_t openedCount = 0;
 };
 
@@ -255,6 +256,7 @@
         if (age < pooled->idleLifetime && age >= maxIdleAge)
             return nullptr;
         connections.pop_back();
+        idleCount -= 1;
         if (age < pooled->idleLifetime)
             return pooled;
         pooled->connection->close();
@@ -264,6 +266,10 @@
 
 void ConnectionPool::Implementation::addIdle(const PeerKey& peer, const PooledPointer& pooled)
 {
+    if (idleCount >= options.idleTotal) {
+        pooled->connection->close();
+        return;
+    }
     std::list<PooledPointer>& connections = idle[peer];
     pooled->idleSince = steadyNow();
     pooled->isReused = true;
@@ -281,12 +287,14 @@
     };
     pooled->connection->start(std::move(handlers));
     connections.push_back(pooled);
+    idleCount += 1;
     const SteadyTime now = steadyNow();
     while (!connections.empty()
         && (connections.size() > options.idlePerPeer
             || now - connections.front()->idleSince > connections.front()->idleLifetime)) {
         connections.front()->connection->close();
         connections.pop_front();
+        idleCount -= 1;
     }
 }
 
@@ -300,6 +308,7 @@
             continue;
         const PooledPointer removed = candidate;
         found->second.remove(removed);
+        idleCount -= 1;
         removed->connection->close();
         break;
     }
@@ -346,6 +355,7 @@
         return;
     for (const PooledPointer& pooled : found->second)
         pooled->connection->close();
+    m_implementation->idleCount -= found->second.size();
     m_implementation->idle.erase(found);
 }
 
--- a/libs/channels/src/StatusServer.cpp
+++ b/libs/channels/src/StatusServer.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     constexpr uint32_t NoContent = 204;
+    constexpr size_t MaxConnections = 1024;
 
     /** Parses the requests of one connection and responds to them. */
     class PageConnection final {
@@ -66,8 +67,8 @@
 struct StatusServer::Implementation {
     Implementation(EventLoop& loop, const fleet::Address& address, Handler pageHandler)
         : handler(std::move(pageHandler))
-        , listener(
-              loop, address, [this](const ConnectionPointer& connection) { accept(connection); })
+        , listener(loop, address, { MaxConnections, {} },
+              [this](const ConnectionPointer& connection) { accept(connection); })
     {
     }
 
--- /dev/null
+++ b/libs/channels/src/TcpConnection.cpp
@@ -0,0 +1,294 @@
+#include "TcpConnection.h"
+
+#include "telemetry/Telemetry.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace citronspoke::channels {
+
+namespace {
+
+    /**
+     * TCP_USER_TIMEOUT towards callers: a caller that acknowledges no bytes for this long counts
+     * as disconnected. Shorter than the longest time that users may go without contact.
+     */
+    constexpr int CallerTimeoutMs = 2000;
+    /**
+     * TCP_USER_TIMEOUT towards servers in our own network: leaves time for three retransmissions,
+     * each after 0.2 s or more.
+     */
+    constexpr int ServerTimeoutMs = 700;
+    constexpr int KeepAliveIdleSeconds = 1;
+    constexpr int KeepAliveIntervalSeconds = 1;
+    constexpr int KeepAliveProbes = 2;
+
+    /** Adds the buffers of a segment to a list. */
+    struct AppendBuffers {
+        std::vector<asio::const_buffer>& buffers;
+
+        void operator()(const std::string& bytes) const { buffers.push_back(asio::buffer(bytes)); }
+        void operator()(const std::shared_ptr<const http1::Body>& body) const
+        {
+            for (const std::string& block : body->blocks())
+                buffers.push_back(asio::buffer(block));
+        }
+    };
+
+} // namespace
+
+TcpConnection::TcpConnection(asio::io_context& context)
+    : m_socket(context)
+    , m_timer(context)
+{
+}
+
+void TcpConnection::connectTo(const fleet::Address& address, Milliseconds limit)
+{
+    const std::shared_ptr<TcpConnection> self = shared();
+    m_isConnecting = true;
+    m_timer.expires_after(limit);
+    m_timer.async_wait([self](const asio::error_code& error) {
+        if (!error && self->m_isConnecting)
+            self->closeAndReport(ConnectionEnd::ConnectFailed);
+    });
+    asio::error_code error;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.ip, error), address.port);
+    if (error) {
+        asio::post(m_socket.get_executor(), [self, error] { self->onConnected(error); });
+        return;
+    }
+    m_socket.async_connect(
+        endpoint, [self](const asio::error_code& error) { self->onConnected(error); });
+}
+
+void TcpConnection::accept(std::shared_ptr<OpenConnections> open)
+{
+    m_open = std::move(open);
+    m_open->count += 1;
+    configure(CallerTimeoutMs);
+}
+
+void TcpConnection::start(Handlers handlers)
+{
+    m_handlers = std::make_shared<Handlers>(std::move(handlers));
+    continueReading();
+}
+
+void TcpConnection::write(std::string bytes) { write(std::move(bytes), nullptr); }
+
+void TcpConnection::write(std::string head, std::shared_ptr<const http1::Body> body)
+{
+    if (m_isClosed)
+        return;
+    m_unsentSize += head.size();
+    std::string* last = m_queued.empty() ? nullptr : std::get_if<std::string>(&m_queued.back());
+    if (last)
+        last->append(head);
+    else
+        m_queued.emplace_back(std::move(head));
+    if (body) {
+        m_unsentSize += body->size();
+        m_queued.emplace_back(std::move(body));
+    }
+    writeQueued();
+}
+
+void TcpConnection::setReading(bool isReading)
+{
+    m_isPaused = !isReading;
+    continueReading();
+}
+
+void TcpConnection::closeAfterWrites()
+{
+    m_closesAfterWrites = true;
+    if (m_unsentSize == 0)
+        shutDownWriting();
+}
+
+void TcpConnection::close()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    leaveOpen();
+    asio::error_code ignored;
+    m_timer.cancel();
+    // A plain close would let the operating system deliver unsent bytes later, perhaps
+    // after a network partition, when they are no longer wanted. A reset discards them.
+    if (m_unsentSize > 0 || !m_isWriteShutDown)
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    m_socket.close(ignored);
+    m_queued.clear();
+    m_handlers = std::make_shared<Handlers>();
+}
+
+std::shared_ptr<TcpConnection> TcpConnection::shared()
+{
+    return std::static_pointer_cast<TcpConnection>(shared_from_this());
+}
+
+void TcpConnection::leaveOpen()
+{
+    const std::shared_ptr<OpenConnections> open = std::exchange(m_open, nullptr);
+    if (!open)
+        return;
+    open->count -= 1;
+    open->ending.remove(this);
+}
+
+void TcpConnection::configure(int userTimeoutMs)
+{
+    asio::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    setOption(TCP_USER_TIMEOUT, userTimeoutMs);
+    setOption(TCP_KEEPIDLE, KeepAliveIdleSeconds);
+    setOption(TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+    setOption(TCP_KEEPCNT, KeepAliveProbes);
+}
+
+void TcpConnection::setOption(int option, int value)
+{
+    setsockopt(m_socket.native_handle(), IPPROTO_TCP, option, &value, sizeof value);
+}
+
+template <typename Handler, typename... Arguments>
+void TcpConnection::runHandler(const Handler& handler, const Arguments&... arguments)
+{
+    try {
+        handler(arguments...);
+    } catch (const std::exception& exception) {
+        telemetry::reportUnexpected("connection", exception);
+        if (!m_isClosed)
+            closeAndReport(ConnectionEnd::Broken);
+    }
+}
+
+void TcpConnection::onConnected(const asio::error_code& error)
+{
+    if (m_isClosed || !m_isConnecting)
+        return;
+    if (error) {
+        closeAndReport(ConnectionEnd::ConnectFailed);
+        return;
+    }
+    m_isConnecting = false;
+    m_timer.cancel();
+    configure(ServerTimeoutMs);
+    const std::shared_ptr<TcpConnection> self = shared();
+    const std::shared_ptr<Handlers> handlers = m_handlers;
+    if (handlers->onConnected)
+        runHandler(handlers->onConnected);
+    if (m_isClosed)
+        return;
+    writeQueued();
+    continueReading();
+}
+
+void TcpConnection::continueReading()
+{
+    // While bytes are being delivered, the input buffer is in use; onRead continues.
+    if (m_isConnecting || m_isReading || m_isClosed || m_isPaused || m_isDelivering)
+        return;
+    m_isReading = true;
+    m_socket.async_read_some(
+        asio::buffer(m_input), [self = shared()](const asio::error_code& error, size_t size) {
+            self->onRead(error, size);
+        });
+}
+
+void TcpConnection::onRead(const asio::error_code& error, size_t size)
+{
+    m_isReading = false;
+    if (m_isClosed)
+        return;
+    if (error) {
+        const bool isEndOfStream = error == asio::error::eof;
+        closeAndReport(isEndOfStream ? ConnectionEnd::ClosedByPeer : ConnectionEnd::Broken);
+        return;
+    }
+    const std::shared_ptr<Handlers> handlers = m_handlers;
+    m_isDelivering = true;
+    if (handlers->onBytes)
+        runHandler(handlers->onBytes, std::string_view(m_input.data(), size));
+    m_isDelivering = false;
+    continueReading();
+}
+
+void TcpConnection::writeQueued()
+{
+    if (m_isConnecting || !m_writing.empty() || m_queued.empty())
+        return;
+    m_writing.swap(m_queued);
+    const auto handler = [self = shared()](const asio::error_code& error, size_t size) {
+        self->onWritten(error, size);
+    };
+    const std::string* only
+        = m_writing.size() == 1 ? std::get_if<std::string>(&m_writing.front()) : nullptr;
+    if (only) {
+        asio::async_write(m_socket, asio::buffer(*only), handler);
+        return;
+    }
+    std::vector<asio::const_buffer> buffers;
+    for (const Segment& segment : m_writing)
+        std::visit(AppendBuffers { buffers }, segment);
+    asio::async_write(m_socket, buffers, handler);
+}
+
+void TcpConnection::onWritten(const asio::error_code& error, size_t size)
+{
+    m_writing.clear();
+    if (m_isClosed)
+        return;
+    m_unsentSize -= std::min(m_unsentSize, size);
+    if (error) {
+        closeAndReport(ConnectionEnd::Broken);
+        return;
+    }
+    if (m_queued.empty() && m_closesAfterWrites)
+        shutDownWriting();
+    writeQueued();
+    const std::shared_ptr<Handlers> handlers = m_handlers;
+    if (handlers->onWritten)
+        runHandler(handlers->onWritten);
+}
+
+// Closing with unread input would send a reset, which can discard a response in transit.
+// So only the sending side is shut down, and reading continues until the peer closes.
+void TcpConnection::shutDownWriting()
+{
+    if (m_isClosed)
+        return;
+    asio::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    constexpr std::chrono::seconds LingerLimit { 1 };
+    m_timer.expires_after(LingerLimit);
+    m_isWriteShutDown = true;
+    if (m_open)
+        m_open->ending.push_back(this);
+    m_timer.async_wait([self = shared()](const asio::error_code& error) {
+        if (!error)
+            self->close();
+    });
+}
+
+void TcpConnection::closeAndReport(ConnectionEnd end)
+{
+    const std::shared_ptr<TcpConnection> self = shared();
+    const std::shared_ptr<Handlers> handlers = m_handlers;
+    close();
+    if (handlers->onEnd)
+        handlers->onEnd(end);
+}
+
+ConnectionPointer connect(EventLoop& loop, const fleet::Address& address, Milliseconds limit)
+{
+    const std::shared_ptr<TcpConnection> connection
+        = std::make_shared<TcpConnection>(loop.implementation().context);
+    connection->connectTo(address, limit);
+    return connection;
+}
+
+} // namespace citronspoke::channels
--- a/libs/channels/tests/ThrowingHandlerTests.cpp
+++ b/libs/channels/tests/ThrowingHandlerTests.cpp
@@ -1,69 +1,17 @@
 // Handlers that throw exceptions which no code expects, as libraries do for odd input.
-#include "channels/Channels.h"
+#include "LoopFixture.h"
 #include "telemetry/Telemetry.h"
 
-#include <arpa/inet.h>
-#include <criterion/criterion.h>
-#include <netinet/in.h>
 #include <stdexcept>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace citronspoke;
 using namespace citronspoke::channels;
+using namespace citronspoke::channels::tests;
 
 namespace {
 
-/** Only a hang lasts this long. */
-constexpr Milliseconds HangLimit { 5000 };
-
 [[noreturn]] void fail() { throw std::runtime_error("odd input"); }
 
-/** Runs the loop until done is set. */
-void runUntil(EventLoop& loop, const bool& done)
-{
-    Timer poll(loop);
-    const SteadyTime end = steadyNow() + HangLimit;
-    std::function<void()> check = [&] {
-        if (done || steadyNow() >= end)
-            loop.stop();
-        else
-            poll.arm(Milliseconds(1), check);
-    };
-    check();
-    loop.run();
-    loop.restart();
-    cr_assert(done);
-}
-
-/** A loopback port that no other process is given while this lives. */
-class ReservedPort {
-public:
-    ReservedPort()
-        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
-    {
-        // Sockets that listen may share the port with this one, which does not.
-        const int yes = 1;
-        setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        cr_assert_eq(bind(m_socket, reinterpret_cast<sockaddr*>(&address), size), 0);
-        getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
-        m_port = ntohs(address.sin_port);
-    }
-    ~ReservedPort() { close(m_socket); }
-    ReservedPort(const ReservedPort&) = delete;
-    ReservedPort& operator=(const ReservedPort&) = delete;
-
-    fleet::Address address() const { return { "127.0.0.1", m_port }; }
-
-private:
-    int m_socket;
-    uint16_t m_port = 0;
-};
-
 bool isCounted(std::string_view work)
 {
     const std::string line
@@ -91,16 +39,17 @@
     const ReservedPort reserved;
     const fleet::Address address = reserved.address();
     std::vector<ConnectionPointer> accepted;
-    const Listener listener(loop, address, [&accepted](const ConnectionPointer& connection) {
-        Connection::Handlers handlers;
-        handlers.onBytes = [raw = connection.get()](std::string_view bytes) {
-            if (bytes == "odd")
-                fail();
-            raw->write(std::string(bytes));
-        };
-        accepted.push_back(connection);
-        connection->start(std::move(handlers));
-    });
+    const Listener listener(
+        loop, address, { 64, {} }, [&accepted](const ConnectionPointer& connection) {
+            Connection::Handlers handlers;
+            handlers.onBytes = [raw = connection.get()](std::string_view bytes) {
+                if (bytes == "odd")
+                    fail();
+                raw->write(std::string(bytes));
+            };
+            accepted.push_back(connection);
+            connection->start(std::move(handlers));
+        });
     const ConnectionPointer odd = connect(loop, address, HangLimit);
     const ConnectionPointer other = connect(loop, address, HangLimit);
     bool isOddClosed = false;
@@ -125,11 +74,12 @@
     const ReservedPort reserved;
     const fleet::Address address = reserved.address();
     std::vector<ConnectionPointer> accepted;
-    const Listener listener(loop, address, [&accepted](const ConnectionPointer& connection) {
-        accepted.push_back(connection);
-        connection->start({});
-        connection->write("odd");
-    });
+    const Listener listener(
+        loop, address, { 64, {} }, [&accepted](const ConnectionPointer& connection) {
+            accepted.push_back(connection);
+            connection->start({});
+            connection->write("odd");
+        });
     const ConnectionPointer connection = connect(loop, address, HangLimit);
     bool hasEnded = false;
     Connection::Handlers handlers;
@@ -146,7 +96,7 @@
     const fleet::Address address = reserved.address();
     size_t accepted = 0;
     bool isSecondAccepted = false;
-    const Listener listener(loop, address, [&](const ConnectionPointer&) {
+    const Listener listener(loop, address, { 64, {} }, [&](const ConnectionPointer&) {
         isSecondAccepted = ++accepted == 2;
         fail();
     });
