Status pages are served no faster than they are read

Callers saw: 20 clients that request the metrics over and over and read nothing made a gateway hold 160 MB of pages, of 48 that it may take; 400 open connections to a page took 416 to 424 of 256 descriptors, of a sidecar as well.

Cause: the server of status pages responded to all that one read had brought, whether or not earlier responses had been sent, and kept any number of connections for any time.

It responds to a request when the response before it has been sent, and reads on when it has no more requests. Each server has a sixteenth of max_descriptors; the connection that has been inactive for longest is closed for another one. Bodies of requests for pages are limited to 64 KB.

--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -68,8 +68,9 @@
               m_context.capacity.connections, [this] { return closeLongestWaiting(); } },
           [this](channels::ConnectionPointer connection) { accept(std::move(connection)); }))
     , m_readinessServer(loop, fleet::requireAddress(settings.readiness),
-          [this](std::string_view) { return readinessPage(); })
+          m_context.capacity.pageConnections, [this](std::string_view) { return readinessPage(); })
     , m_operatorServer(loop, fleet::requireAddress(settings.operatorAddress),
+          m_context.capacity.pageConnections,
           [this](std::string_view target) { return operatorPage(target); })
     , m_expiryTimer(loop)
     , m_stopTimer(loop)
--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-    constexpr size_t BytesPerMb = size_t { 1 } << 20;
-
     channels::ConnectionPool::Options poolOptions(const capacity::CallerCapacity& capacity)
     {
         channels::ConnectionPool::Options options;
@@ -38,8 +36,8 @@
     , clocks(std::move(clocks))
     , settings(settings)
     , zone(settings.zone)
-    , capacity(capacity::callerCapacity(
-          settings.process.memoryMb * BytesPerMb, settings.process.descriptors))
+    , capacity(
+          capacity::callerCapacity(settings.process.memoryBytes(), settings.process.descriptors))
     , requestMemory(std::make_shared<capacity::RequestMemory>(capacity.requests))
     , targetConnections(loop, poolOptions(capacity))
     , evenLoads(EntryId(settings.id), settings.hasEvenLoad)
--- a/apps/sidecar/RoleReconciler.cpp
+++ b/apps/sidecar/RoleReconciler.cpp
@@ -1,5 +1,7 @@
 #include "RoleReconciler.h"
 
+#include "capacity/Capacity.h"
+
 #include "telemetry/Telemetry.h"
 
 namespace citronspoke::sidecar {
@@ -37,6 +39,8 @@
           [this](std::string_view datagram) { onDatagram(datagram); })
     , m_originHolder(m_port, EntryId(settings.id))
     , m_operatorServer(loop, fleet::requireAddress(settings.operatorAddress),
+          capacity::callerCapacity(settings.process.memoryBytes(), settings.process.descriptors)
+              .pageConnections,
           [](std::string_view) {
               return channels::StatusServer::Page { 200, "text/plain", telemetry::metricsText() };
           })
--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -280,8 +280,13 @@
     /** Receives the path with its query. */
     using Handler = std::function<Page(std::string_view path)>;
 
-    /** @throws ListenFailed when the address cannot be bound. */
-    StatusServer(EventLoop& loop, const fleet::Address& address, Handler handler);
+    /**
+     * @param maxConnections connections that may be open at once; the one that has been inactive
+     *        for longest is closed for another one.
+     * @throws ListenFailed when the address cannot be bound.
+     */
+    StatusServer(
+        EventLoop& loop, const fleet::Address& address, size_t maxConnections, Handler handler);
     ~StatusServer();
 
 private:
--- a/libs/channels/src/StatusServer.cpp
+++ b/libs/channels/src/StatusServer.cpp
@@ -1,5 +1,6 @@
 #include "channels/Channels.h"
 
+#include <algorithm>
 #include <set>
 
 namespace citronspoke::channels {
@@ -7,27 +8,55 @@
 namespace {
 
     constexpr uint32_t NoContent = 204;
-    constexpr size_t MaxConnections = 1024;
+    /** Requests for pages have no bodies; those that come are dropped. */
+    constexpr http1::MessageLimits PageLimits { 16384, 65536 };
 
-    /** Parses the requests of one connection and responds to them. */
-    class PageConnection final {
+    /** Parses the requests of one connection and responds to them, one after the other. */
+    class PageConnection final : public std::enable_shared_from_this<PageConnection> {
     public:
         PageConnection(ConnectionPointer connection, const StatusServer::Handler& handler)
             : m_connection(std::move(connection))
             , m_handler(handler)
-            , m_parser(http1::MessageLimits {})
+            , m_parser(PageLimits)
         {
         }
 
-        Connection& connection() { return *m_connection; }
+        /** @param onEnd called when the connection has ended. */
+        void start(const std::function<void()>& onEnd)
+        {
+            const std::weak_ptr<PageConnection> weak = weak_from_this();
+            Connection::Handlers handlers;
+            handlers.onBytes = [weak, onEnd](std::string_view bytes) {
+                const std::shared_ptr<PageConnection> self = weak.lock();
+                if (!self)
+                    return;
+                self->m_pending.append(bytes);
+                if (!self->serve())
+                    self->closeAndReport(onEnd);
+            };
+            handlers.onWritten = [weak, onEnd] {
+                const std::shared_ptr<PageConnection> self = weak.lock();
+                if (self && !self->serve())
+                    self->closeAndReport(onEnd);
+            };
+            handlers.onEnd = [onEnd](ConnectionEnd) { onEnd(); };
+            m_connection->start(std::move(handlers));
+        }
 
-        /** @return false when the connection must be closed. */
-        bool onBytes(std::string_view bytes)
+        void close() { m_connection->close(); }
+        SteadyTime activeAt() const noexcept { return m_activeAt; }
+
+    private:
+        /**
+         * Responds to what was received, as long as the peer reads the responses.
+         * @return false when the connection must be closed.
+         */
+        bool serve()
         {
-            while (!bytes.empty()) {
+            while (!m_pending.empty() && m_connection->unsentBytes() == 0) {
                 std::vector<http1::RequestEvent> events;
                 try {
-                    bytes.remove_prefix(m_parser.feed(bytes, events));
+                    m_pending.erase(0, m_parser.feed(m_pending, events));
                 } catch (const http1::MessageRejected&) {
                     return false;
                 }
@@ -38,12 +67,13 @@
                         respond();
                 }
             }
+            m_connection->setReading(m_pending.empty());
             return true;
         }
 
-    private:
         void respond()
         {
+            m_activeAt = steadyNow();
             const StatusServer::Page page = m_handler(m_path);
             http1::Headers headers = page.headers;
             if (page.status != NoContent) {
@@ -56,36 +86,61 @@
             m_connection->write(http1::composeResponse(page.status, reason, headers) + page.body);
         }
 
+        void closeAndReport(const std::function<void()>& onEnd)
+        {
+            m_connection->close();
+            onEnd();
+        }
+
         ConnectionPointer m_connection;
         const StatusServer::Handler& m_handler;
         http1::RequestParser m_parser;
+        /** Received and not yet parsed, because a response is still being sent. */
+        std::string m_pending;
         std::string m_path;
+        SteadyTime m_activeAt = steadyNow();
     };
 
 } // namespace
 
 struct StatusServer::Implementation {
-    Implementation(EventLoop& loop, const fleet::Address& address, Handler pageHandler)
+    Implementation(
+        EventLoop& loop, const fleet::Address& address, size_t maxConnections, Handler pageHandler)
         : handler(std::move(pageHandler))
-        , listener(loop, address, { MaxConnections, {} },
+        , listener(loop, address, { maxConnections, [this] { return closeLongestInactive(); } },
               [this](const ConnectionPointer& connection) { accept(connection); })
     {
     }
 
+    ~Implementation()
+    {
+        for (const std::shared_ptr<PageConnection>& page : connections)
+            page->close();
+    }
+    Implementation(const Implementation&) = delete;
+    Implementation& operator=(const Implementation&) = delete;
+
     void accept(const ConnectionPointer& connection)
     {
         const std::shared_ptr<PageConnection> page
             = std::make_shared<PageConnection>(connection, handler);
         connections.insert(page);
-        Connection::Handlers handlers;
-        handlers.onBytes = [this, page](std::string_view bytes) {
-            if (!page->onBytes(bytes)) {
-                page->connection().close();
-                connections.erase(page);
-            }
+        // Does not own the page, whose connection owns the callback.
+        page->start([this, weak = std::weak_ptr(page)] { connections.erase(weak.lock()); });
+    }
+
+    bool closeLongestInactive()
+    {
+        const auto isEarlier = [](const std::shared_ptr<PageConnection>& left,
+                                   const std::shared_ptr<PageConnection>& right) {
+            return left->activeAt() < right->activeAt();
         };
-        handlers.onEnd = [this, page](ConnectionEnd) { connections.erase(page); };
-        connection->start(std::move(handlers));
+        const auto found = std::min_element(connections.begin(), connections.end(), isEarlier);
+        if (found == connections.end())
+            return false;
+        (*found)->close();
+        connections.erase(found);
+        return true;
     }
 
     Handler handler;
@@ -93,8 +148,10 @@
     Listener listener;
 };
 
-StatusServer::StatusServer(EventLoop& loop, const fleet::Address& address, Handler handler)
-    : m_implementation(std::make_unique<Implementation>(loop, address, std::move(handler)))
+StatusServer::StatusServer(
+    EventLoop& loop, const fleet::Address& address, size_t maxConnections, Handler handler)
+    : m_implementation(
+        std::make_unique<Implementation>(loop, address, maxConnections, std::move(handler)))
 {
 }
 
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -267,8 +267,10 @@
 struct ProcessLimits {
     /** Memory, in MB (2^20 bytes); a process that exceeds it is ended. */
     size_t memoryMb = 256;
-    /** Descriptors that may be open, those of the system's own files included. */
+    /** Descriptors that may be open, those of files included. */
     size_t descriptors = 4096;
+
+    size_t memoryBytes() const noexcept { return memoryMb << 20; }
 };
 
 /** Settings of the duties that one gateway at a time fulfils for the platform. */
