After a refusal no more is read than the rest of a request

Callers saw: a caller that goes on to send after its refusal kept the gateway reading for a second, at the speed of its network, so that refusing a crowd cost more of the processor than serving one.

Cause: a connection that is closed after its last response reads on, so that no reset discards the response on its way; only time bounded that.

closeAfterWrites() takes the number of bytes that are still read and discarded; the gateway gives the largest head and body of the declaration, so a caller that reads the response only after its whole request still gets it. A peer that sends more is reset. Nothing of it is delivered or kept.

--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -19,13 +19,24 @@
     /** Callers accept a wait of at most this fraction (1/n) of their remaining time. */
     constexpr int RetryAfterDivisor = 3;
 
+    fleet::CallerLimits callerLimits(const GatewayContext& context)
+    {
+        return context.routes ? context.routes->declaration().limits : fleet::CallerLimits {};
+    }
+
     http1::MessageLimits messageLimits(const GatewayContext& context)
     {
-        const fleet::CallerLimits limits
-            = context.routes ? context.routes->declaration().limits : fleet::CallerLimits {};
+        const fleet::CallerLimits limits = callerLimits(context);
         return { limits.headBytes, limits.bodyBytes };
     }
 
+    /** @return largest part of a request that a caller may send after its response. */
+    size_t discardableBytes(const GatewayContext& context)
+    {
+        const fleet::CallerLimits limits = callerLimits(context);
+        return limits.headBytes + limits.bodyBytes;
+    }
+
 } // namespace
 
 CallerConnection::CallerConnection(
@@ -248,7 +259,7 @@
             return;
         self->m_handler.reset();
         if (self->m_closesAfterResponse) {
-            self->m_connection->closeAfterWrites();
+            self->m_connection->closeAfterWrites(discardableBytes(self->m_context));
             self->m_isClosed = true;
             self->m_timer.cancel();
             self->m_onClosed();
@@ -339,8 +350,7 @@
 void CallerConnection::armTimer()
 {
     m_waitingSince = steadyNow();
-    const fleet::CallerLimits limits
-        = m_context.routes ? m_context.routes->declaration().limits : fleet::CallerLimits {};
+    const fleet::CallerLimits limits = callerLimits(m_context);
     const std::weak_ptr<CallerConnection> weak = weak_from_this();
     m_timer.arm(m_parser.isBetweenMessages() ? limits.idleTimeout : limits.headTimeout, [weak] {
         if (const std::shared_ptr<CallerConnection> self = weak.lock())
--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -91,8 +91,13 @@
     virtual size_t unsentBytes() const = 0;
     /** While nothing is read, the peer can send only as much as the operating system holds. */
     virtual void setReading(bool isReading) = 0;
-    /** Sends the unsent bytes, then closes. */
-    virtual void closeAfterWrites() = 0;
+    /**
+     * Sends the unsent bytes, then closes. What the peer still sends is discarded.
+     * @param maxDiscardedBytes when the peer sends more, the connection is reset. It should cover
+     *        the rest of a request that a sound peer has begun to send, which reads the response
+     *        only then.
+     */
+    virtual void closeAfterWrites(size_t maxDiscardedBytes) = 0;
     /**
      * Closes at once. The connection is reset, so that unsent bytes never arrive later, unless
      * closeAfterWrites has already ended the writing.
--- a/libs/channels/src/TcpConnection.cpp
+++ b/libs/channels/src/TcpConnection.cpp
@@ -100,9 +100,10 @@
     continueReading();
 }
 
-void TcpConnection::closeAfterWrites()
+void TcpConnection::closeAfterWrites(size_t maxDiscardedBytes)
 {
     m_closesAfterWrites = true;
+    m_discardableBytes = maxDiscardedBytes;
     if (m_unsentSize == 0)
         shutDownWriting();
 }
@@ -209,12 +210,24 @@
         closeAndReport(isEndOfStream ? ConnectionEnd::ClosedByPeer : ConnectionEnd::Broken);
         return;
     }
+    deliver(std::string_view(m_input.data(), size));
+    continueReading();
+}
+
+void TcpConnection::deliver(std::string_view bytes)
+{
+    if (m_closesAfterWrites) {
+        if (bytes.size() > m_discardableBytes)
+            closeAndReport(ConnectionEnd::Broken);
+        else
+            m_discardableBytes -= bytes.size();
+        return;
+    }
     const std::shared_ptr<Handlers> handlers = m_handlers;
     m_isDelivering = true;
     if (handlers->onBytes)
-        runHandler(handlers->onBytes, std::string_view(m_input.data(), size));
+        runHandler(handlers->onBytes, bytes);
     m_isDelivering = false;
-    continueReading();
 }
 
 void TcpConnection::writeQueued()
--- a/libs/channels/src/TcpConnection.h
+++ b/libs/channels/src/TcpConnection.h
@@ -38,7 +38,7 @@
     void write(std::string head, std::shared_ptr<const http1::Body> body) override;
     size_t unsentBytes() const override { return m_unsentSize; }
     void setReading(bool isReading) override;
-    void closeAfterWrites() override;
+    void closeAfterWrites(size_t maxDiscardedBytes) override;
     void close() override;
 
 private:
@@ -55,6 +55,7 @@
     void onConnected(const asio::error_code& error);
     void continueReading();
     void onRead(const asio::error_code& error, size_t size);
+    void deliver(std::string_view bytes);
     void writeQueued();
     void onWritten(const asio::error_code& error, size_t size);
     void shutDownWriting();
@@ -80,6 +81,8 @@
     bool m_isDelivering = false;
     bool m_isClosed = false;
     bool m_closesAfterWrites = false;
+    /** Bytes that may still be received and discarded before the connection is reset. */
+    size_t m_discardableBytes = 0;
     /** The sending side was shut down after the last byte; close must not reset it. */
     bool m_isWriteShutDown = false;
 };
--- a/libs/channels/tests/ListenerTests.cpp
+++ b/libs/channels/tests/ListenerTests.cpp
@@ -75,7 +75,7 @@
     };
     check();
     runUntil(full.loop, areBothAccepted);
-    full.accepted.front()->closeAfterWrites();
+    full.accepted.front()->closeAfterWrites(0);
     full.open();
     runUntil(full.loop, full.isThirdAccepted);
     cr_assert_not(isAsked);
