Connections share one buffer to read into

Callers saw: each open connection took 16 KB of the gateway, whether or not anything was ever received on it; 1,500 idle callers and as many connections to targets come to 49 MB (worked out), of 160 that the smallest machine has.

Cause: a read that waits needs its buffer while it waits, so each connection had one of its own.

A connection now waits until its socket is readable and then reads into the buffer of the event loop, which delivers one connection's bytes at a time. A wait in place of a read that finds nothing costs no further system call.

--- a/libs/channels/src/Listener.cpp
+++ b/libs/channels/src/Listener.cpp
@@ -7,10 +7,10 @@
 using Tcp = asio::ip::tcp;
 
 struct Listener::Implementation : std::enable_shared_from_this<Listener::Implementation> {
-    Implementation(asio::io_context& context, Limits acceptLimits, Handler acceptHandler)
-        : context(context)
-        , acceptor(context)
-        , pause(context)
+    Implementation(EventLoop::Implementation& eventLoop, Limits acceptLimits, Handler acceptHandler)
+        : loop(eventLoop)
+        , acceptor(eventLoop.context)
+        , pause(eventLoop.context)
         , limits(std::move(acceptLimits))
         , handler(std::move(acceptHandler))
     {
@@ -18,7 +18,7 @@
 
     void accept()
     {
-        const std::shared_ptr<TcpConnection> connection = std::make_shared<TcpConnection>(context);
+        const std::shared_ptr<TcpConnection> connection = std::make_shared<TcpConnection>(loop);
         acceptor.async_accept(connection->socket(),
             [self = shared_from_this(), connection](const asio::error_code& error) {
                 if (!self->acceptor.is_open())
@@ -66,7 +66,7 @@
         return true;
     }
 
-    asio::io_context& context;
+    EventLoop::Implementation& loop;
     Tcp::acceptor acceptor;
     asio::steady_timer pause;
     Limits limits;
@@ -76,7 +76,7 @@
 
 Listener::Listener(EventLoop& loop, const fleet::Address& address, Limits limits, Handler handler)
     : m_implementation(std::make_shared<Implementation>(
-        loop.implementation().context, std::move(limits), std::move(handler)))
+        loop.implementation(), std::move(limits), std::move(handler)))
 {
     try {
         const Tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
--- a/libs/channels/src/TcpConnection.cpp
+++ b/libs/channels/src/TcpConnection.cpp
@@ -37,9 +37,10 @@
 
 } // namespace
 
-TcpConnection::TcpConnection(asio::io_context& context)
-    : m_socket(context)
-    , m_timer(context)
+TcpConnection::TcpConnection(EventLoop::Implementation& loop)
+    : m_loop(loop)
+    , m_socket(loop.context)
+    , m_timer(loop.context)
 {
 }
 
@@ -142,6 +143,7 @@
 void TcpConnection::configure(int userTimeoutMs)
 {
     asio::error_code ignored;
+    m_socket.non_blocking(true, ignored);
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
     setOption(TCP_USER_TIMEOUT, userTimeoutMs);
@@ -190,27 +192,32 @@
 
 void TcpConnection::continueReading()
 {
-    // While bytes are being delivered, the input buffer is in use; onRead continues.
+    // While bytes are being delivered, the buffer is in use; onReadable continues.
     if (m_isConnecting || m_isReading || m_isClosed || m_isPaused || m_isDelivering)
         return;
     m_isReading = true;
-    m_socket.async_read_some(
-        asio::buffer(m_input), [self = shared()](const asio::error_code& error, size_t size) {
-            self->onRead(error, size);
-        });
+    // Waits without a buffer: most connections are idle most of the time.
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+        [self = shared()](const asio::error_code& error) { self->onReadable(error); });
 }
 
-void TcpConnection::onRead(const asio::error_code& error, size_t size)
+void TcpConnection::onReadable(const asio::error_code& waitError)
 {
     m_isReading = false;
-    if (m_isClosed)
+    if (m_isClosed || m_isPaused)
+        return;
+    asio::error_code error = waitError;
+    const size_t size = error ? 0 : m_socket.read_some(asio::buffer(m_loop.readBuffer), error);
+    if (error == asio::error::would_block) {
+        continueReading();
         return;
+    }
     if (error) {
         const bool isEndOfStream = error == asio::error::eof;
         closeAndReport(isEndOfStream ? ConnectionEnd::ClosedByPeer : ConnectionEnd::Broken);
         return;
     }
-    deliver(std::string_view(m_input.data(), size));
+    deliver(std::string_view(m_loop.readBuffer.data(), size));
     continueReading();
 }
 
@@ -299,7 +306,7 @@
 ConnectionPointer connect(EventLoop& loop, const fleet::Address& address, Milliseconds limit)
 {
     const std::shared_ptr<TcpConnection> connection
-        = std::make_shared<TcpConnection>(loop.implementation().context);
+        = std::make_shared<TcpConnection>(loop.implementation());
     connection->connectTo(address, limit);
     return connection;
 }
--- a/libs/channels/src/TcpConnection.h
+++ b/libs/channels/src/TcpConnection.h
@@ -2,7 +2,6 @@
 
 #include "EventLoopImplementation.h"
 
-#include <array>
 #include <list>
 #include <variant>
 
@@ -19,7 +18,7 @@
 
 class TcpConnection final : public Connection {
 public:
-    explicit TcpConnection(asio::io_context& context);
+    explicit TcpConnection(EventLoop::Implementation& loop);
     ~TcpConnection() override { leaveOpen(); }
     TcpConnection(const TcpConnection&) = delete;
     TcpConnection& operator=(const TcpConnection&) = delete;
@@ -45,8 +44,6 @@
     /** Bytes that wait to be sent. */
     using Segment = std::variant<std::string, std::shared_ptr<const http1::Body>>;
 
-    static constexpr size_t ReadBufferBytes = 16384;
-
     std::shared_ptr<TcpConnection> shared();
     void leaveOpen();
     /** Sets the socket options. An error means that the peer has already disconnected. */
@@ -54,7 +51,7 @@
     void setOption(int option, int value);
     void onConnected(const asio::error_code& error);
     void continueReading();
-    void onRead(const asio::error_code& error, size_t size);
+    void onReadable(const asio::error_code& error);
     void deliver(std::string_view bytes);
     void writeQueued();
     void onWritten(const asio::error_code& error, size_t size);
@@ -64,6 +61,7 @@
     template <typename Handler, typename... Arguments>
     void runHandler(const Handler& handler, const Arguments&... arguments);
 
+    EventLoop::Implementation& m_loop;
     asio::ip::tcp::socket m_socket;
     /** Limits the time to connect, and later the wait for the peer to close. */
     asio::steady_timer m_timer;
@@ -71,7 +69,6 @@
     std::shared_ptr<OpenConnections> m_open;
     /** Shared, because a running handler may replace the handlers. */
     std::shared_ptr<Handlers> m_handlers = std::make_shared<Handlers>();
-    std::array<char, ReadBufferBytes> m_input {};
     std::vector<Segment> m_queued;
     std::vector<Segment> m_writing;
     size_t m_unsentSize = 0;
