--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -267,7 +267,7 @@
     const auto found = std::min_element(m_connections.begin(), m_connections.end(), isEarlier);
     if (found == m_connections.end() || (*found)->isServing())
         return false;
-    const std::shared_ptr<CallerConnection> longest = *found;
+    std::shared_ptr<CallerConnection> longest = *found;
     longest->closeForRoom();
     return true;
 }
--- a/libs/http1/src/Headers.cpp
+++ b/libs/http1/src/Headers.cpp
@@ -55,8 +55,8 @@
     /** @return bytes that a string takes beside its object; short ones are within it. */
     size_t heapBytes(const std::string& text)
     {
-        static const size_t InnerCapacity = std::string().capacity();
-        return text.capacity() > InnerCapacity ? text.capacity() + 1 : 0;
+        static const size_t innerCapacity = std::string().capacity();
+        return text.capacity() > innerCapacity ? text.capacity() + 1 : 0;
     }
 
 } // namespace
