Log lines are bounded in bytes, not only in number

Callers saw: requests with attempt ids of 14 KB, which the limits allow, made the gateway hold up to 52 MB, of 48 that it may take; with heads of 16 KB the log alone may come to 128 MB (worked out), twice while it is written.

Cause: each line about a request has its id, and the queue of lines counts lines. They were also joined to one text before they were written.

A value in a log line is cut after 512 bytes, marked by "..."; the lines that are queued or being written have 4 MB together, above which lines are dropped and counted as before, and they are written in parts of 64 KB.

--- a/libs/telemetry/src/LogWriter.cpp
+++ b/libs/telemetry/src/LogWriter.cpp
@@ -3,13 +3,17 @@
 #include "telemetry/Telemetry.h"
 
 #include <unistd.h>
+#include <utility>
 
 namespace citronspoke::telemetry {
 
 namespace {
 
-    /** Holds a few seconds of lines under load, and takes a few megabytes at most. */
+    /** Holds a few seconds of lines under load. */
     constexpr size_t MaxQueuedLines = 8192;
+    /** Bytes of all lines that are queued or being written. */
+    constexpr size_t MaxHeldBytes = size_t { 4 } << 20;
+    constexpr size_t MaxWriteBytes = size_t { 64 } << 10;
     /** Lines queued within this time are written together. */
     constexpr Milliseconds BatchingDelay { 20 };
     constexpr Milliseconds MaxWait { 1000 };
@@ -37,29 +41,41 @@
 
 void LogWriter::push(std::string line)
 {
-    if (!m_lines.tryPush(std::move(line)))
-        m_dropped += 1;
+    const size_t size = line.size();
+    if (m_heldBytes.fetch_add(size) + size <= MaxHeldBytes && m_lines.tryPush(std::move(line)))
+        return;
+    m_heldBytes -= size;
+    m_dropped += 1;
 }
 
 void LogWriter::run()
 {
     std::deque<std::string> batch;
     while (m_lines.popAll(batch, MaxWait)) {
+        if (batch.empty())
+            continue;
+        size_t batchBytes = 0;
+        for (const std::string& line : batch)
+            batchBytes += line.size();
         try {
             writeBatch(batch);
         } catch (const std::exception&) {
             m_dropped += batch.size();
         }
-        if (!batch.empty())
-            std::this_thread::sleep_for(BatchingDelay);
+        batch.clear();
+        m_heldBytes -= batchBytes;
+        std::this_thread::sleep_for(BatchingDelay);
     }
 }
 
 void LogWriter::writeBatch(const std::deque<std::string>& batch)
 {
     std::string text;
-    for (const std::string& line : batch)
+    for (const std::string& line : batch) {
         text += line;
+        if (text.size() > MaxWriteBytes)
+            writeAll(std::exchange(text, {}));
+    }
     const uint64_t dropped = m_dropped.exchange(0);
     if (dropped > 0) {
         text += "[log] Lines were dropped. count=" + std::to_string(dropped) + "\n";
--- a/libs/telemetry/src/LogWriter.h
+++ b/libs/telemetry/src/LogWriter.h
@@ -23,6 +23,7 @@
 
     BoundedQueue<std::string> m_lines;
     std::atomic<uint64_t> m_dropped { 0 };
+    std::atomic<size_t> m_heldBytes { 0 };
     WorkerThread m_thread;
 };
 
--- a/libs/telemetry/src/Logging.cpp
+++ b/libs/telemetry/src/Logging.cpp
@@ -10,12 +10,20 @@
 
 namespace {
 
+    /** Callers choose some values, such as the ids of their requests. */
+    constexpr size_t MaxValueBytes = 512;
+    constexpr std::string_view CutMark = "...";
+
     std::string formatLine(std::string_view part, std::string_view sentence, Fields fields)
     {
         std::string text;
         text.append("[").append(part).append("] ").append(sentence);
-        for (const Field& field : fields)
-            text.append(" ").append(field.key).append("=").append(field.value);
+        for (const Field& field : fields) {
+            const std::string_view value = field.value;
+            text.append(" ").append(field.key).append("=").append(value.substr(0, MaxValueBytes));
+            if (value.size() > MaxValueBytes)
+                text.append(CutMark);
+        }
         return text;
     }
 
--- a/tests/crowds/Crowd.cpp
+++ b/tests/crowds/Crowd.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-    /** More than any head that the tests look at. */
-    constexpr size_t MaxKeptBytes = 4096;
+    /** More than any response head of the tests. */
+    constexpr size_t MaxKeptBytes = size_t { 64 } << 10;
     /** A crowd that could send nothing for this long is held off and sends no more. */
     constexpr Milliseconds HeldOffTime { 2000 };
     constexpr Milliseconds PollInterval { 1 };
--- a/tests/crowds/RequestCrowdTests.cpp
+++ b/tests/crowds/RequestCrowdTests.cpp
@@ -2,6 +2,7 @@
 // of the system with small limits must live and stay within them, and serve an ordinary request
 // while the crowd's connections are open.
 #include "CrowdFleet.h"
+#include "FakeDocuments.h"
 
 #include <criterion/criterion.h>
 
@@ -143,6 +144,23 @@
     fleet.expectSound(replies);
 }
 
+// What callers send is also in the log, whose lines wait to be written.
+Test(request_crowds, long_attempt_ids)
+{
+    constexpr size_t IdBytes = size_t { 14 } << 10;
+    constexpr size_t Rounds = 40;
+    const std::string request = "GET /a/x HTTP/1.1\r\nHost: " + std::string(fakes::RouteHost)
+        + "\r\nX-Attempt-Id: " + std::string(IdBytes, 'a') + "\r\n\r\n";
+    CrowdFleet fleet;
+    for (size_t round = 0; round < Rounds; ++round) {
+        Crowd crowd(fleet.callers(), CrowdSize);
+        crowd.send(request, request.size());
+        crowd.receiveAll();
+        fleet.gateway().sampleDescriptors();
+    }
+    fleet.expectSound({});
+}
+
 // One request that is as large as the declaration allows is served while nothing else happens.
 Test(request_crowds, single_requests_within_the_limits_are_served)
 {
