The prefix cache index has a bound in bytes

Callers saw: nothing yet.

Cause: the index evicts by the tokens of an engine's cache, which callers state; nothing bounds its memory.

The index counts what its entries take and evicts the least recently used part of the engine that has most while they exceed a tenth of memory_mb.

--- a/apps/gateway/GatewayContext.cpp
+++ b/apps/gateway/GatewayContext.cpp
@@ -40,6 +40,7 @@
           capacity::callerCapacity(settings.process.memoryBytes(), settings.process.descriptors))
     , requestMemory(std::make_shared<capacity::RequestMemory>(capacity.requests))
     , targetConnections(loop, poolOptions(capacity))
+    , prefixCacheIndex(capacity.prefixIndexBytes)
     , evenLoads(EntryId(settings.id), settings.hasEvenLoad)
     , pacer(EntryId(settings.id), settings.limitNoticeTime)
     , retryBudget({ settings.retries.share, settings.retries.fixedPart, settings.retries.window },
--- a/libs/capacity/include/capacity/Capacity.h
+++ b/libs/capacity/include/capacity/Capacity.h
@@ -107,6 +107,8 @@
     RequestMemory::Limits requests;
     /** Bytes of responses that wait for callers to read them. */
     size_t unsentBytes = 0;
+    /** The prefix cache index, whose parts callers choose. */
+    size_t prefixIndexBytes = 0;
     /** Connections of callers. As many again may be in use towards targets. */
     size_t connections = 0;
     /** Connections to each server of status pages. */
--- a/libs/capacity/src/CallerCapacity.cpp
+++ b/libs/capacity/src/CallerCapacity.cpp
@@ -8,6 +8,7 @@
 
     constexpr size_t RequestMemoryPercent = 40;
     constexpr size_t UnsentPercent = 20;
+    constexpr size_t PrefixIndexPercent = 10;
     constexpr size_t Percent = 100;
     constexpr size_t MaxUnsentBytes = size_t { 24 } << 20;
     /** Part (1/n) of the requests' memory that only small requests may take. */
@@ -29,6 +30,7 @@
     capacity.requests.reservedBytes = capacity.requests.totalBytes / ReservedDivisor;
     capacity.requests.smallRequestBytes = SmallRequestBytes;
     capacity.unsentBytes = std::min(memoryBytes * UnsentPercent / Percent, MaxUnsentBytes);
+    capacity.prefixIndexBytes = memoryBytes * PrefixIndexPercent / Percent;
     capacity.connections = descriptors * ConnectionParts / DescriptorParts;
     capacity.pageConnections = descriptors * PageParts / DescriptorParts;
     capacity.idleTargetConnections = descriptors * IdleTargetParts / DescriptorParts;
--- a/libs/dispatch/include/dispatch/PrefixCacheIndex.h
+++ b/libs/dispatch/include/dispatch/PrefixCacheIndex.h
@@ -15,6 +15,17 @@
  */
 class PrefixCacheIndex {
 public:
+    static constexpr size_t DefaultMaxBytes = size_t { 16 } << 20;
+
+    /**
+     * @param maxBytes memory of the index, above which the least recently used parts of the engine
+     *        that has most are evicted: callers choose the parts, whose tokens may be few.
+     */
+    explicit PrefixCacheIndex(size_t maxBytes = DefaultMaxBytes)
+        : m_maxBytes(maxBytes)
+    {
+    }
+
     /** How much of a prompt an engine has cached, in tokens from the prompt's start. */
     struct CachedPrefix {
         /** Prefilled already, so that other engines can fetch it. */
@@ -36,6 +47,8 @@
     void noteNotPrefilled(const TargetId& engine, std::span<const fleet::PromptPart> parts);
     /** The engine is gone or has restarted, so its cache is empty. */
     void removeEngine(const TargetId& engine);
+    /** @return memory that the parts take, roughly. */
+    size_t memoryBytes() const noexcept { return m_bytes; }
     /** @return how much of a prompt one engine has cached. */
     CachedPrefix cachedPrefix(
         const TargetId& engine, std::span<const fleet::PromptPart> parts) const;
@@ -61,7 +74,11 @@
     static CachedPrefix cachedPrefixIn(
         const EngineCache& cache, std::span<const fleet::PromptPart> parts);
     void removeEngineOfPart(const std::string& part, const std::string& engine);
+    void eraseFromLargest();
+    void erasePart(const std::string& engine, EngineCache& cache, std::list<Part>::iterator part);
 
+    size_t m_maxBytes;
+    size_t m_bytes = 0;
     std::unordered_map<std::string, EngineCache> m_engines;
     /** Engine ids by part id. */
     std::unordered_map<std::string, std::set<std::string>> m_enginesByPart;
--- a/libs/dispatch/src/PrefixCacheIndex.cpp
+++ b/libs/dispatch/src/PrefixCacheIndex.cpp
@@ -2,6 +2,16 @@
 
 namespace citronspoke::dispatch {
 
+namespace {
+
+    /** Entries of a part in the list of an engine and in two maps, without its id. */
+    constexpr size_t EntryBytes = 288;
+    constexpr size_t IdCopies = 3;
+
+    size_t bytesOf(std::string_view id) { return EntryBytes + IdCopies * id.size(); }
+
+} // namespace
+
 void PrefixCacheIndex::noteSent(
     const TargetId& engine, uint64_t capacityTokens, std::span<const fleet::PromptPart> parts)
 {
@@ -29,13 +39,31 @@
         cache.byId.emplace(part.id, std::prev(cache.parts.end()));
         cache.tokens += part.tokens;
         m_enginesByPart[part.id].insert(engine.text());
+        m_bytes += bytesOf(part.id);
     }
-    while (cache.tokens > capacityTokens && !cache.parts.empty()) {
-        cache.tokens -= cache.parts.front().tokens;
-        removeEngineOfPart(cache.parts.front().id, engine.text());
-        cache.byId.erase(cache.parts.front().id);
-        cache.parts.pop_front();
-    }
+    while (cache.tokens > capacityTokens && !cache.parts.empty())
+        erasePart(engine.text(), cache, cache.parts.begin());
+    while (m_bytes > m_maxBytes)
+        eraseFromLargest();
+}
+
+void PrefixCacheIndex::eraseFromLargest()
+{
+    const auto largest = std::max_element(
+        m_engines.begin(), m_engines.end(), [](const auto& left, const auto& right) {
+            return left.second.parts.size() < right.second.parts.size();
+        });
+    erasePart(largest->first, largest->second, largest->second.parts.begin());
+}
+
+void PrefixCacheIndex::erasePart(
+    const std::string& engine, EngineCache& cache, std::list<Part>::iterator part)
+{
+    cache.tokens -= part->tokens;
+    m_bytes -= bytesOf(part->id);
+    removeEngineOfPart(part->id, engine);
+    cache.byId.erase(part->id);
+    cache.parts.erase(part);
 }
 
 void PrefixCacheIndex::noteNotPrefilled(
@@ -49,10 +77,7 @@
         const auto known = cache.byId.find(part.id);
         if (known == cache.byId.end() || known->second->isReady)
             continue;
-        cache.tokens -= known->second->tokens;
-        removeEngineOfPart(part.id, engine.text());
-        cache.parts.erase(known->second);
-        cache.byId.erase(known);
+        erasePart(engine.text(), cache, known->second);
     }
 }
 
@@ -61,8 +86,10 @@
     const auto found = m_engines.find(engine.text());
     if (found == m_engines.end())
         return;
-    for (const Part& part : found->second.parts)
+    for (const Part& part : found->second.parts) {
+        m_bytes -= bytesOf(part.id);
         removeEngineOfPart(part.id, engine.text());
+    }
     m_engines.erase(found);
 }
 
