A closed connection of a caller releases its memory at once

Cause: what it held counted until the object was destroyed, which another owner, such as a queued callback, may delay; meanwhile it could still be told to give way. Change: close() drops it.

--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -375,6 +375,7 @@
     if (m_isClosed)
         return;
     m_isClosed = true;
+    stopReceiving();
     m_timer.cancel();
     m_connection->close();
     m_context.callerBuffers.remove(m_connection.get());
