Responses that are read slowly do not keep all connections

Callers saw: clients that ask for the connection to be closed and read the end of a large response slowly hold their connections for as long as they like; when they hold all that callers may have, every new connection is closed.

Cause: nobody owns a connection that only sends its last bytes, so nothing could close it at the limit.

The listener closes the oldest of them when there is neither one that has sent everything nor one that the gateway can spare.

--- a/libs/channels/src/Listener.cpp
+++ b/libs/channels/src/Listener.cpp
@@ -60,9 +60,16 @@
 
     bool closeOne()
     {
-        if (open->ending.empty())
-            return limits.makeRoom && limits.makeRoom();
-        open->ending.front()->close();
+        if (!open->ending.empty()) {
+            open->ending.front()->close();
+            return true;
+        }
+        if (limits.makeRoom && limits.makeRoom())
+            return true;
+        // Their peers may read on, but nobody else can close them.
+        if (open->sending.empty())
+            return false;
+        open->sending.front()->closeForRoom();
         return true;
     }
 
--- a/libs/channels/src/TcpConnection.cpp
+++ b/libs/channels/src/TcpConnection.cpp
@@ -107,6 +107,8 @@
     m_discardableBytes = maxDiscardedBytes;
     if (m_unsentSize == 0)
         shutDownWriting();
+    else if (m_open)
+        m_open->sending.push_back(this);
 }
 
 void TcpConnection::close()
@@ -137,6 +139,7 @@
     if (!open)
         return;
     open->count -= 1;
+    open->sending.remove(this);
     open->ending.remove(this);
 }
 
@@ -286,8 +289,10 @@
     constexpr std::chrono::seconds LingerLimit { 1 };
     m_timer.expires_after(LingerLimit);
     m_isWriteShutDown = true;
-    if (m_open)
+    if (m_open) {
+        m_open->sending.remove(this);
         m_open->ending.push_back(this);
+    }
     m_timer.async_wait([self = shared()](const asio::error_code& error) {
         if (!error)
             self->close();
--- a/libs/channels/src/TcpConnection.h
+++ b/libs/channels/src/TcpConnection.h
@@ -12,6 +12,8 @@
 /** The open connections of a listener. */
 struct OpenConnections {
     size_t count = 0;
+    /** Those that are to be closed once everything is sent, oldest first. */
+    std::list<TcpConnection*> sending;
     /** Those that have sent everything and wait for their peers to close, oldest first. */
     std::list<TcpConnection*> ending;
 };
@@ -31,6 +33,8 @@
      * @param open counts the connection until it is closed.
      */
     void accept(std::shared_ptr<OpenConnections> open);
+    /** Closes the connection, which still has bytes to send, and reports its end. */
+    void closeForRoom() { closeAndReport(ConnectionEnd::Broken); }
 
     void start(Handlers handlers) override;
     void write(std::string bytes) override;
--- a/libs/channels/tests/ListenerTests.cpp
+++ b/libs/channels/tests/ListenerTests.cpp
@@ -21,6 +21,17 @@
         for (int count = 0; count < 2; ++count)
             open();
     }
+    void waitUntilFull()
+    {
+        bool isFull = false;
+        Timer poll(loop);
+        std::function<void()> check = [&] {
+            isFull = accepted.size() == 2;
+            poll.arm(Milliseconds(1), check);
+        };
+        check();
+        runUntil(loop, isFull);
+    }
     /** Connects one more peer. */
     void open()
     {
@@ -67,20 +78,31 @@
 {
     bool isAsked = false;
     FullListener full([&isAsked] { return isAsked = true; });
-    bool areBothAccepted = false;
-    Timer poll(full.loop);
-    std::function<void()> check = [&] {
-        areBothAccepted = full.accepted.size() == 2;
-        poll.arm(Milliseconds(1), check);
-    };
-    check();
-    runUntil(full.loop, areBothAccepted);
+    full.waitUntilFull();
     full.accepted.front()->closeAfterWrites(0);
     full.open();
     runUntil(full.loop, full.isThirdAccepted);
     cr_assert_not(isAsked);
 }
 
+// Guards against peers that read the end of a response slowly and so keep all connections.
+Test(listeners, connections_that_send_their_last_response_are_closed_last)
+{
+    constexpr size_t MoreThanTheKernelHolds = size_t { 64 } << 20;
+    bool isAsked = false;
+    FullListener full([&isAsked] {
+        isAsked = true;
+        return false;
+    });
+    full.waitUntilFull();
+    full.peers.front()->setReading(false);
+    full.accepted.front()->write(std::string(MoreThanTheKernelHolds, 'x'));
+    full.accepted.front()->closeAfterWrites(0);
+    full.open();
+    runUntil(full.loop, full.isThirdAccepted);
+    cr_assert(isAsked);
+}
+
 // Guards against a loop that accepts over and over while there are no descriptors.
 Test(listeners, without_descriptors_wait_before_they_accept_again)
 {
