Metrics and start line: what callers hold, and its limits

Operators saw: nothing that tells how near a gateway is to the limits that its callers meet, nor which limits its settings state.

Cause: the limits are new.

The metrics have gauges of the memory of requests, of unsent responses and of the prefix cache index, of callers' connections, and of their limits; the start line has memory_mb and max_descriptors, and a reload that changes them says that it needs a restart.

--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -83,6 +83,8 @@
 
 void CallerConnection::closeForRoom()
 {
+    // Its owner releases it when it is closed.
+    const std::shared_ptr<CallerConnection> self = shared_from_this();
     telemetry::logWarning("caller", "Closed a connection: another caller needs it.",
         { { "idle", isIdle() ? "yes" : "no" },
             { "waited_ms", millisecondsText(since(m_waitingSince)) } });
--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -267,8 +267,7 @@
     const auto found = std::min_element(m_connections.begin(), m_connections.end(), isEarlier);
     if (found == m_connections.end() || (*found)->isServing())
         return false;
-    std::shared_ptr<CallerConnection> longest = *found;
-    longest->closeForRoom();
+    (*found)->closeForRoom();
     return true;
 }
 
@@ -284,6 +283,17 @@
 {
     if (target.substr(0, target.find('?')) == DeclarationExchange::Path)
         return m_exchange.respond(target);
+    const capacity::CallerCapacity& capacity = m_context.capacity;
+    const auto gauge = [](std::string_view name, size_t value) {
+        telemetry::gauge(name, static_cast<double>(value));
+    };
+    gauge("request_memory_bytes", m_context.requestMemory->total());
+    gauge("request_memory_limit_bytes", capacity.requests.totalBytes);
+    gauge("unsent_bytes", m_context.callerBuffers.total());
+    gauge("unsent_limit_bytes", capacity.unsentBytes);
+    gauge("caller_connections", m_connections.size());
+    gauge("caller_connections_limit", capacity.connections);
+    gauge("prefix_index_bytes", m_context.prefixCacheIndex.memoryBytes());
     return { 200, "text/plain", telemetry::metricsText() };
 }
 
@@ -295,7 +305,8 @@
     const settings::GatewaySettings& before = m_context.settings;
     const bool needsRestart = settings.callers != before.callers
         || settings.readiness != before.readiness || settings.store != before.store
-        || settings.operatorAddress != before.operatorAddress || settings.zone != before.zone;
+        || settings.operatorAddress != before.operatorAddress || settings.zone != before.zone
+        || settings.process != before.process;
     telemetry::logInfo("gateway", "Reloaded the settings.",
         { { "stop_grace_ms", std::to_string(m_stopGrace.count()) },
             { "retry_share", std::to_string(settings.retries.share) },
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -40,7 +40,9 @@
     gateway.emplace(loop, settings);
     gateway->start();
     telemetry::logInfo("gateway", "Started.",
-        { { "id", settings.id }, { "callers", settings.callers }, { "store", settings.store } });
+        { { "id", settings.id }, { "callers", settings.callers }, { "store", settings.store },
+            { "memory_mb", std::to_string(settings.process.memoryMb) },
+            { "max_descriptors", std::to_string(settings.process.descriptors) } });
     loop.run();
 }
 
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -271,6 +271,7 @@
     size_t descriptors = 4096;
 
     size_t memoryBytes() const noexcept { return memoryMb << 20; }
+    bool operator==(const ProcessLimits&) const = default;
 };
 
 /** Settings of the duties that one gateway at a time fulfils for the platform. */
