--- a/tests/crowds/ConnectionCrowdTests.cpp
+++ b/tests/crowds/ConnectionCrowdTests.cpp
@@ -76,7 +76,7 @@
     const fleet::Address operators { "127.0.0.1", ports.pick() };
     ProcessUnderTest sidecar("citronspoke-sidecar",
         "id = \"sidecar-1\"\nzone = \"zone-a\"\nengine = \"" + engine.address().text()
-            + "\"\noperator = \"" + operators.text() + "\"\n",
+            + "\"\noperator = \"" + operators.text() + "\"\n" + limitSettings(TestLimits),
         TestLimits);
     const SteadyTime start = steadyNow();
     while (exchangeStatus(operators, "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n") != 200)
--- a/tests/crowds/CrowdFleet.cpp
+++ b/tests/crowds/CrowdFleet.cpp
@@ -58,7 +58,8 @@
         + "operator = " + quoted(m_operators) + "store = " + quoted(m_store.address())
         + "sidecar_port = " + std::to_string(m_ports.pick())
         + "\nstop_grace_s = 8\nretry_share = 0.2\nretry_fixed_part = 58\nretry_window_s = 10\n"
-          "apply_time_ms = 2000\ndrain_time_ms = 2000\nlimit_notice_ms = 3000\n";
+          "apply_time_ms = 2000\ndrain_time_ms = 2000\nlimit_notice_ms = 3000\n"
+        + limitSettings(TestLimits);
     m_gateway.emplace("citronspoke-gateway", settings, TestLimits);
     waitUntil([this] { return statusOf(requestHead("GET", "")) == 200; });
     m_runs = 0;
--- a/tests/crowds/ProcessUnderTest.cpp
+++ b/tests/crowds/ProcessUnderTest.cpp
@@ -20,14 +20,19 @@
 
 } // namespace
 
+std::string limitSettings(const ProcessLimits& limits)
+{
+    return "memory_mb = " + std::to_string(limits.memoryMb)
+        + "\nmax_descriptors = " + std::to_string(limits.descriptors) + "\n";
+}
+
 ProcessUnderTest::ProcessUnderTest(
     const std::string& program, const std::string& settings, const ProcessLimits& limits)
     : m_limits(limits)
     , m_folder(newFolder())
 {
     const std::string path = (m_folder / "settings.toml").string();
-    std::ofstream(path) << settings << "memory_mb = " << limits.memoryMb
-                        << "\nmax_descriptors = " << limits.descriptors << '\n';
+    std::ofstream(path) << settings;
     const std::filesystem::path own = std::filesystem::read_symlink("/proc/self/exe");
     m_process.emplace((own.parent_path() / program).string(),
         std::vector<std::string> { "--settings=" + path }, (m_folder / "log").string());
--- a/tests/crowds/ProcessUnderTest.h
+++ b/tests/crowds/ProcessUnderTest.h
@@ -12,10 +12,16 @@
     size_t descriptors = 0;
 };
 
+/** @return the lines of a settings file that state the limits. */
+std::string limitSettings(const ProcessLimits& limits);
+
 /** A program of the system with its settings, and what it has used of its limits. */
 class ProcessUnderTest {
 public:
-    /** @param program its name; it lies beside the test's own program. */
+    /**
+     * @param program its name; it lies beside the test's own program.
+     * @param settings its settings file, which states the limits where the program has such keys.
+     */
     ProcessUnderTest(
         const std::string& program, const std::string& settings, const ProcessLimits& limits);
     ~ProcessUnderTest();
