Dropped requests are logged with what they held

Operators saw: "Dropped an unfinished request: its memory is needed. held=0".

Cause: a request that gives way is taken out of the account before its connection is told, and the line read the account.

The line states what the connection holds at that moment.

--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -279,8 +279,12 @@
     if (!m_held)
         m_held = std::make_unique<capacity::HeldMemory>(
             m_context.requestMemory, [this] { giveWay(); }, now);
-    return m_held->resize(
-        m_pending.capacity() + m_parser.heldBytes() + m_request.memoryBytes(), now);
+    return m_held->resize(heldBytes(), now);
+}
+
+size_t CallerConnection::heldBytes() const noexcept
+{
+    return m_pending.capacity() + m_parser.heldBytes() + m_request.memoryBytes();
 }
 
 void CallerConnection::countHeld()
@@ -294,7 +298,7 @@
 void CallerConnection::giveWay()
 {
     telemetry::logWarning("caller", "Dropped an unfinished request: its memory is needed.",
-        { { "held", std::to_string(m_held->bytes()) },
+        { { "held", std::to_string(heldBytes()) },
             { "held_all", std::to_string(m_context.requestMemory->total()) } });
     telemetry::count("refused_for_memory");
     const Milliseconds wait = retryAfter();
--- a/apps/gateway/CallerConnection.h
+++ b/apps/gateway/CallerConnection.h
@@ -55,6 +55,8 @@
     void countHeld();
     /** @return whether there is memory for what is held. */
     bool holdMemory();
+    /** @return what is held of requests that are not being served yet. */
+    size_t heldBytes() const noexcept;
     /** Refuses what has not been received as a whole: its memory is needed. */
     void giveWay();
     /** Drops what was received and has not been served, and what is still to come. */
--- a/libs/capacity/include/capacity/Capacity.h
+++ b/libs/capacity/include/capacity/Capacity.h
@@ -81,7 +81,6 @@
      *        must not resize or destroy objects of this class itself.
      */
     void beginService(std::function<void()> resume);
-    size_t bytes() const noexcept { return m_bytes; }
 
 private:
     friend class RequestMemory;
