--- a/libs/settings/tests/GatewaySettingsTests.cpp
+++ b/libs/settings/tests/GatewaySettingsTests.cpp
@@ -57,8 +57,7 @@
     cr_assert_eq(absent.memoryMb, 256U);
     cr_assert_eq(absent.descriptors, 4096U);
     const std::string limits = "memory_mb = 160\nmax_descriptors = 4100\n";
-    const ProcessLimits stated
-        = parseGatewaySettings({ "gateway.toml", Gateway + limits }).process;
+    const ProcessLimits stated = parseGatewaySettings({ "gateway.toml", Gateway + limits }).process;
     cr_assert_eq(stated.memoryMb, 160U);
     cr_assert_eq(stated.descriptors, 4100U);
     const std::string sidecar = "id = \"s\"\nzone = \"z\"\nengine = \"10.0.0.1:1\"\n"
