Fault soak: callers that do not finish their requests

Cause: all callers of the soak behaved, so no play met the limits of callers together with kills, stops and faults of links.

In each play 24 connections at a time, to one gateway after the other, send a request without its last byte and stay for a while. The existing promises cover them: such a request must not run, and no process may end by itself. The proxies of the soak use the limits of listeners, and discard without a bound after the end of one side, as before.

--- a/tests/soak/FaultProxy.cpp
+++ b/tests/soak/FaultProxy.cpp
@@ -34,7 +34,7 @@
         if (!buffered.empty())
             out->write(std::exchange(buffered, {}));
         if (isSourceClosed)
-            out->closeAfterWrites();
+            out->closeAfterWrites(std::numeric_limits<size_t>::max());
     }
 
     channels::ConnectionPointer out;
@@ -62,13 +62,17 @@
     Pipe responses;
 };
 
+/** More than all processes of a run open to one of them. */
+constexpr size_t MaxConnections = 4096;
+
 FaultProxy::FaultProxy(
     channels::EventLoop& loop, const fleet::Address& own, const fleet::Address& server)
     : m_loop(loop)
     , m_own(own)
     , m_server(server)
-    , m_listener(std::make_unique<channels::Listener>(
-          loop, own, [this](const channels::ConnectionPointer& caller) { accept(caller); }))
+    , m_listener(std::make_unique<channels::Listener>(loop, own,
+          channels::Listener::Limits { MaxConnections, {} },
+          [this](const channels::ConnectionPointer& caller) { accept(caller); }))
 {
 }
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,3 +1,5 @@
+#include "Crowd.h"
+#include "FakeDocuments.h"
 #include "SoakFleet.h"
 
 #include <absl/flags/flag.h>
@@ -66,6 +68,7 @@
         for (size_t number = 1; number <= m_options.callers; ++number)
             threads.emplace_back([this, number] { sendRequests(number); });
         threads.emplace_back([this] { probeDeclarations(); });
+        threads.emplace_back([this] { holdUnfinishedRequests(); });
         if (m_options.hasCrashingParts)
             threads.emplace_back([this] { sendCrashingParts(); });
         injectFaults();
@@ -204,6 +207,24 @@
         }
     }
 
+    /** Opens connections over and over on which requests are sent that lack their last byte. */
+    void holdUnfinishedRequests()
+    {
+        constexpr size_t Connections = 24;
+        constexpr size_t BodyBytes = 60000;
+        constexpr size_t PieceBytes = 16384;
+        constexpr Milliseconds HoldTime { 300 };
+        const std::string request = "POST /any/x HTTP/1.1\r\nHost: " + std::string(fakes::RouteHost)
+            + "\r\nX-Attempt-Id: unfinished\r\nContent-Length: " + std::to_string(BodyBytes)
+            + "\r\n\r\n" + std::string(BodyBytes - 1, 'x');
+        std::mt19937_64 random(m_options.seed);
+        while (!m_isStopping) {
+            crowds::Crowd crowd(m_fleet.callerAddress(random() % m_fleet.gateways()), Connections);
+            crowd.send(request, PieceBytes);
+            std::this_thread::sleep_for(HoldTime);
+        }
+    }
+
     /** Checks which declaration each gateway has in force. */
     void probeDeclarations()
     {
