Prefix cache index: a default constructor of its own

Cause: clang does not assign {} where the default constructor is explicit, which the linter reports for the emulator. Change: two constructors, the same defaults.

--- a/libs/dispatch/include/dispatch/PrefixCacheIndex.h
+++ b/libs/dispatch/include/dispatch/PrefixCacheIndex.h
@@ -17,11 +17,15 @@
 public:
     static constexpr size_t DefaultMaxBytes = size_t { 16 } << 20;
 
+    PrefixCacheIndex()
+        : PrefixCacheIndex(DefaultMaxBytes)
+    {
+    }
     /**
      * @param maxBytes memory of the index, above which the least recently used parts of the engine
      *        that has most are evicted: callers choose the parts, whose tokens may be few.
      */
-    explicit PrefixCacheIndex(size_t maxBytes = DefaultMaxBytes)
+    explicit PrefixCacheIndex(size_t maxBytes)
         : m_maxBytes(maxBytes)
     {
     }
