Gateway: what is held of requests has a file of its own

Change: the functions that count the memory of unfinished requests and refuse them moved to CallerConnectionMemory.cpp, those of requests that are served to RequestHandlerOutcomes.cpp; nothing in them changed.

--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -157,22 +157,6 @@
     }
 }
 
-bool RequestHandler::countHeld()
-{
-    if (!m_request.held)
-        return true;
-    size_t bytes = m_request.memoryBytes() + m_attempt->body->memoryBytes();
-    if (m_targetFailure)
-        bytes += m_targetFailure->body->memoryBytes();
-    return m_request.held->resize(bytes, steadyNow());
-}
-
-void RequestHandler::continueHolding()
-{
-    if (!m_isOver && m_attempt && !m_attempt->isRelayed && m_attempt->exchange)
-        m_attempt->exchange->setReading(true);
-}
-
 void RequestHandler::endOversizedAttempt()
 {
     telemetry::logWarning("request", "Broke off a response that is too long.",
