--- a/review/stand-ins-2/StandIns.cpp
+++ b/review/stand-ins-2/StandIns.cpp
@@ -395,6 +395,15 @@
     putLocked(key, value, lease);
 }
 
+void Store::putWhenUp(const std::string& key, const std::string& value)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_isSilent)
+        m_waiting[key] = value;
+    else
+        putLocked(key, value, 0);
+}
+
 void Store::remove(const std::string& key)
 {
     const std::lock_guard lock(m_mutex);
@@ -405,6 +414,10 @@
 {
     const std::lock_guard lock(m_mutex);
     m_isSilent = isSilent;
+    if (!isSilent) {
+        for (const auto& [key, value] : std::exchange(m_waiting, {}))
+            putLocked(key, value, 0);
+    }
     m_changed.notify_all();
 }
 
@@ -644,7 +657,7 @@
     const auto address = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\"\n"; };
     return "id = \"" + name + "\"\nzone = \"hall-keflavik\"\ncallers = " + address(callers)
         + "readiness = " + address(readiness) + "operator = " + address(internal) + "store = \""
-        + store + "\"\nsidecar_port = " + std::to_string(internal)
+        + store + "\"\nsidecar_port = " + std::to_string(freePort())
         + "\nstop_grace_s = 8\napply_time_ms = 2000\ndrain_time_ms = 2000\n"
           "limit_notice_ms = 3000\nretry_share = 0.2\nretry_fixed_part = 58\nretry_window_s = 10\n"
           "first_start = true\nlease_time_ms = 3000\nclock_skew_ms = 5000\nmemory_mb = "
--- a/review/stand-ins-2/StandIns.h
+++ b/review/stand-ins-2/StandIns.h
@@ -130,6 +130,8 @@
     Store();
     std::string address() const { return m_server.address(); }
     void put(const std::string& key, const std::string& value, int64_t lease = 0);
+    /** Writes the key once the store is not silent any more; returns at once. */
+    void putWhenUp(const std::string& key, const std::string& value);
     void remove(const std::string& key);
     /** While set, calls get no response. */
     void setSilent(bool isSilent);
@@ -165,6 +167,7 @@
     int64_t m_revision = 1;
     int64_t m_lastLease = 0;
     bool m_isSilent = false;
+    std::map<std::string, std::string> m_waiting;
     Server m_server;
 };
 
