--- a/review/10/Play.cpp
+++ b/review/10/Play.cpp
@@ -38,9 +38,10 @@
         { "protocol", "h1" }, { "tls", false } };
     const Json limits { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", bodyLimit },
         { "headerTimeoutMs", 3000 }, { "idleTimeoutMs", 15000 } };
-    return Json { { "version", version }, { "routes", { route } }, { "services", { service } },
-        { "limits", limits } }
-        .dump();
+    return Json {
+        { "version", version }, { "routes", { route } }, { "services", { service } },
+        { "limits", limits }
+    }.dump();
 }
 
 /** One request with a body on a kept channel. */
@@ -56,9 +57,8 @@
 {
     Record record("record.txt");
     std::atomic<int> ran { 0 };
-    Server application([&](const Request& request, Link& link) {
-        serveApplication(request, link, record, ran);
-    });
+    Server application(
+        [&](const Request& request, Link& link) { serveApplication(request, link, record, ran); });
     Store store;
     store.put("op/config", configuration(7, isCalm() ? LargeLimit : SmallLimit));
     store.put("servers/i-1",
@@ -76,8 +76,7 @@
     for (int number = 1; number <= Clients; ++number) {
         links.push_back(connectTo(callers));
         links.back()->setTimeout(Milliseconds(6000));
-        const Response before
-            = ask(*links.back(), "small-" + std::to_string(number), SmallBody);
+        const Response before = ask(*links.back(), "small-" + std::to_string(number), SmallBody);
         if (before.status != 200)
             return 2;
     }
--- a/review/8/Play.cpp
+++ b/review/8/Play.cpp
@@ -40,9 +40,9 @@
         { "protocol", "h1" }, { "tls", false } };
     const Json limits { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 4194304 },
         { "headerTimeoutMs", 3000 }, { "idleTimeoutMs", 15000 } };
-    return Json { { "version", 7 }, { "routes", { route } }, { "services", { service } },
-        { "limits", limits } }
-        .dump();
+    return Json {
+        { "version", 7 }, { "routes", { route } }, { "services", { service } }, { "limits", limits }
+    }.dump();
 }
 
 enum class Pace : uint8_t { Fast, Steady, OnePause };
@@ -66,9 +66,8 @@
 {
     Record record("record.txt");
     std::atomic<int> ran { 0 };
-    Server application([&](const Request& request, Link& link) {
-        serveApplication(request, link, record, ran);
-    });
+    Server application(
+        [&](const Request& request, Link& link) { serveApplication(request, link, record, ran); });
     Store store;
     store.put("op/config", configuration());
     store.put("servers/i-1",
--- a/review/stand-ins-2/StandIns.cpp
+++ b/review/stand-ins-2/StandIns.cpp
@@ -285,8 +285,7 @@
         return link.receive(bytes, mostBytes);
     };
     if (response.fields.contains("content-length")) {
-        const size_t length
-            = std::strtoul(response.fields["content-length"].c_str(), nullptr, 10);
+        const size_t length = std::strtoul(response.fields["content-length"].c_str(), nullptr, 10);
         while (bytes.size() < length && more()) { }
         response.isComplete = bytes.size() == length;
         response.body = bytes;
@@ -367,7 +366,7 @@
         // Disconnects with a reset; the thread that serves the connection sees its end.
         sockaddr none {};
         none.sa_family = AF_UNSPEC;
-        connect(link->descriptor(), &none, sizeof none);
+        static_cast<void>(connect(link->descriptor(), &none, sizeof none));
     }
 }
 
@@ -594,8 +593,7 @@
     respond(link, status, body);
 }
 
-Process::Process(
-    const std::string& program, const std::string& settings, const std::string& name)
+Process::Process(const std::string& program, const std::string& settings, const std::string& name)
 {
     const std::string base = temporaryFolder() + "/" + name;
     std::ofstream(base + ".conf") << settings;
--- a/review/stand-ins-2/StandIns.h
+++ b/review/stand-ins-2/StandIns.h
@@ -1,4 +1,5 @@
-// Stand-ins for the cases 6 to 10: an HTTP server, the platform's store, a client and a child process.
+// Stand-ins for the cases 6 to 10: an HTTP server, the platform's store, a client and a child
+// process.
 #pragma once
 
 #include <atomic>
