--- a/review/stand-ins-2/StandIns.cpp
+++ b/review/stand-ins-2/StandIns.cpp
@@ -650,7 +650,7 @@
 }
 
 std::string gatewaySettings(const std::string& name, const std::string& store, int callers,
-    int readiness, int internal, int memoryMb)
+    int readiness, int internal, int memoryMb, bool isFirstStart)
 {
     const auto address = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\"\n"; };
     return "id = \"" + name + "\"\nzone = \"hall-keflavik\"\ncallers = " + address(callers)
@@ -658,8 +658,9 @@
         + store + "\"\nsidecar_port = " + std::to_string(freePort())
         + "\nstop_grace_s = 8\napply_time_ms = 2000\ndrain_time_ms = 2000\n"
           "limit_notice_ms = 3000\nretry_share = 0.2\nretry_fixed_part = 58\nretry_window_s = 10\n"
-          "first_start = true\nlease_time_ms = 3000\nclock_skew_ms = 5000\nmemory_mb = "
-        + std::to_string(memoryMb) + "\nmax_descriptors = 4100\n";
+          "lease_time_ms = 3000\nclock_skew_ms = 5000\nmemory_mb = "
+        + std::to_string(memoryMb) + "\nmax_descriptors = 4100\n"
+        + (isFirstStart ? "first_start = true\n" : "");
 }
 
 bool waitUntilReady(int readinessPort, Milliseconds limit)
--- a/review/stand-ins-2/StandIns.h
+++ b/review/stand-ins-2/StandIns.h
@@ -193,9 +193,12 @@
 int freePort();
 /** A folder that is removed at the end of the program. */
 std::string temporaryFolder();
-/** @return the settings of a gateway as the deploy file's template gives them for a small site. */
+/**
+ * @param isFirstStart of the whole system.
+ * @return the settings of a gateway as the deploy file's template gives them for a small site.
+ */
 std::string gatewaySettings(const std::string& name, const std::string& store, int callers,
-    int readiness, int internal, int memoryMb);
+    int readiness, int internal, int memoryMb, bool isFirstStart = true);
 /** Waits until the readiness page says 200. */
 bool waitUntilReady(int readinessPort, Milliseconds limit);
 /** @return whether the disruption shall be left out. */
