Odd records: gateways know each other's last reports before they are compared

Seen: odd_records/nested_very_deeply failed once beside a build, and in 7 of 80 runs with 40 copies at once. Cause, by the log of one: the second gateway knew the new target, but sent it none of 30 requests, all within 10 ms, since the last report of the first gateway's work named it as busy with one request, and reports are sent every few milliseconds. Change: the test waits before each gateway's requests, not only before the first one's. What it asserts is the same.

--- a/apps/gateway/tests/OddRecordTests.cpp
+++ b/apps/gateway/tests/OddRecordTests.cpp
@@ -27,8 +27,9 @@
     fixture.start();
     GatewayFixture::waitUntil([&] { return fixture.readiness(1) == 200; });
     fixture.addTarget("late", "app", answerOk);
-    std::this_thread::sleep_for(SettleTime);
     for (size_t gateway : { 0U, 1U }) {
+        // The last report of the first gateway's work may name the new target as busy.
+        std::this_thread::sleep_for(SettleTime);
         const size_t before = fixture.seenBy("late");
         for (int attempt = 0; attempt < 30; ++attempt) {
             Caller caller(fixture.callers(gateway));
