Streams: the pool that began a stream belongs to its origin

Cause: findRoute() drew one of the route's pools before anything asked where the stream had begun; the origin named a version only, which was then looked for in the drawn pool. Change: the pool is a part of the origin in notes, queries, replies and batches. A request that resumes a stream gets its pool when the origin is known, and is counted there (retry budget, demand, quarantine, shares). The same cause on related paths: sidecars of all pools of the route are asked, and without a record the versions of all its pools count. A pool to which the newest declaration does not send the route is not used: that would be a run as only an older declaration allows.

--- a/apps/gateway/RequestHandler.cpp
+++ b/apps/gateway/RequestHandler.cpp
@@ -81,28 +81,23 @@
     }
     if (!findRoute())
         return;
-    if (m_pool->engine && m_callerInfo.prompt)
-        m_sharedParts = quarantine::sharedParts(*m_callerInfo.prompt);
-    if (endWhenQuarantined())
+    if (m_route->isResumable)
+        m_lastEventId = m_callerInfo.lastEventId;
+    if (!m_lastEventId && !enterPool(drawPool()))
         return;
     Milliseconds limit = m_route->timeout;
     if (m_callerInfo.timeLeft)
         limit = std::min(limit, *m_callerInfo.timeLeft);
     m_deadline = m_request.receivedAt + limit;
-    if (m_route->isResumable)
-        m_lastEventId = m_callerInfo.lastEventId;
-    m_context.retryBudget.noteRequest(m_pool->id, steadyNow());
     telemetry::logInfo("request", "Received.",
         { { "id", m_callerInfo.attempt.text() }, { "route", m_route->name },
-            { "pool", m_pool->id.text() },
+            { "pool", m_pool ? m_pool->id.text() : "" },
             { "revision", std::to_string(m_routes->declaration().revision.value()) },
             { "left_ms", millisecondsText(timeLeft()) },
             { "tokens", std::to_string(m_callerInfo.prompt ? m_callerInfo.prompt->tokens : 0) },
             { "parts", sharedPartsText(m_callerInfo.prompt) },
             { "resumes", m_callerInfo.resumedAttempt.text() },
             { "last_event", numberText(m_lastEventId) } });
-    if (m_pool->engine && m_callerInfo.prompt)
-        m_context.demandMeters[m_pool->id].noteArrival(steadyNow());
     const std::weak_ptr<RequestHandler> weak = weak_from_this();
     m_deadlineTimer.arm(timeLeft() + DeadlineSlack, [weak] {
         if (const std::shared_ptr<RequestHandler> self = weak.lock())
@@ -135,12 +130,29 @@
             refuse(NotFound, "no route matches", Milliseconds(0));
         return false;
     }
-    m_pool
-        = m_routes->declaration().pool(dispatch::choosePool(*m_route, m_context.randomFraction()));
+    return true;
+}
+
+const PoolId& RequestHandler::drawPool()
+{
+    return dispatch::choosePool(*m_route, m_context.randomFraction());
+}
+
+bool RequestHandler::enterPool(const PoolId& pool)
+{
+    m_pool = m_routes->declaration().pool(pool);
     if (!m_pool) {
         refuse(Unavailable, "the route's pool is not declared", StartRetryAfter);
         return false;
     }
+    const bool isPrompt = m_pool->engine && m_callerInfo.prompt;
+    if (isPrompt)
+        m_sharedParts = quarantine::sharedParts(*m_callerInfo.prompt);
+    if (endWhenQuarantined())
+        return false;
+    m_context.retryBudget.noteRequest(m_pool->id, steadyNow());
+    if (isPrompt)
+        m_context.demandMeters[m_pool->id].noteArrival(steadyNow());
     return true;
 }
 
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -133,7 +133,15 @@
 
     using TargetStates = std::vector<dispatch::TargetState*>;
 
+    /** @return false when the request was refused. */
     bool findRoute();
+    /**
+     * Assigns the request to a pool of its route, and counts it there.
+     * @return false when the request was refused.
+     */
+    bool enterPool(const PoolId& pool);
+    /** @return a pool of the route, drawn by the weights. */
+    const PoolId& drawPool();
     /** Refuses a request that may last longer than the process. @return whether it was refused. */
     bool refuseBeforeStop();
     /**
@@ -147,8 +155,9 @@
     void refuseKey(std::string_view reason, std::string_view cause, uint32_t status);
     /** @return the priority of the organisation, or else of the route. */
     uint32_t priority() const;
-    /** Sends a stream that the caller resumes once it is known at which version it began. */
+    /** Sends a stream that the caller resumes once it is known where it began. */
     void resumeStream();
+    void goOnFrom(const streams::Origin& origin);
     void sendNext();
     // Each returns whether the request is taken care of: sent, waiting for its turn or refused.
     bool sendWhole();
@@ -298,6 +307,8 @@
     std::vector<quarantine::PromptPartId> m_sharedParts;
     std::shared_ptr<const dispatch::RouteTable> m_routes;
     const fleet::Route* m_route = nullptr;
+    /** Null until the request has a pool; a stream that is resumed goes to the pool that began it.
+     */
     const fleet::PoolTraits* m_pool = nullptr;
     /** That of the caller's key; empty where the deployment declares no organisations, and for
      * public routes without a known key. */
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -91,7 +91,7 @@
     if (!m_streamVersion) {
         m_streamVersion = m_attempt->target.version;
         if (m_route->isResumable)
-            m_context.streams->noteBegun(m_pool->id, m_callerInfo.attempt, *m_streamVersion);
+            m_context.streams->noteBegun(m_callerInfo.attempt, { *m_streamVersion, m_pool->id });
     }
     m_writer->beginBody(head.status, head.reason, adapter::responseHeadersForCaller(head));
 }
--- a/apps/gateway/RequestHandlerVersions.cpp
+++ b/apps/gateway/RequestHandlerVersions.cpp
@@ -23,23 +23,33 @@
 
 void RequestHandler::resumeStream()
 {
+    std::vector<PoolId> pools;
+    for (const fleet::PoolShare& share : m_route->pools)
+        pools.push_back(share.pool);
     const std::weak_ptr<RequestHandler> weak = weak_from_this();
     m_originSearch = m_context.streams->findOrigin(
-        { m_callerInfo.attempt, m_callerInfo.resumedAttempt, m_pool->id },
+        { m_callerInfo.attempt, m_callerInfo.resumedAttempt, std::move(pools) },
         [weak](const streams::Origin& origin) {
             const std::shared_ptr<RequestHandler> self = weak.lock();
-            if (!self || self->m_isOver)
-                return;
-            if (origin.basis == streams::Origin::Basis::Unknown) {
-                self->refuse(Unavailable, "it is not known at which version the stream began",
-                    std::min(UnknownOriginRetryAfter, self->timeLeft() / RetryAfterDivisor));
-                return;
-            }
-            self->m_streamVersion = origin.version;
-            self->sendNext();
+            if (self && !self->m_isOver)
+                self->goOnFrom(origin);
         });
 }
 
+void RequestHandler::goOnFrom(const streams::Origin& origin)
+{
+    if (origin.basis == streams::Origin::Basis::Unknown) {
+        refuse(Unavailable, "it is not known at which version the stream began",
+            std::min(UnknownOriginRetryAfter, timeLeft() / RetryAfterDivisor));
+        return;
+    }
+    m_streamVersion = origin.version;
+    // No pool is known without a record, and the route may have been moved away from the one that
+    // began the stream; the version is required in any case.
+    if (enterPool(dispatch::leadsTo(*m_route, origin.pool) ? origin.pool : drawPool()))
+        sendNext();
+}
+
 void RequestHandler::keepStreamVersion(TargetStates& states) const
 {
     if (!m_streamVersion)
--- a/apps/gateway/SidecarOrigins.cpp
+++ b/apps/gateway/SidecarOrigins.cpp
@@ -21,9 +21,11 @@
 {
 }
 
-void SidecarOrigins::note(const PoolId& pool, const streams::OriginNote& note)
+void SidecarOrigins::note(const streams::OriginNote& note)
 {
-    for (const fleet::Address& sidecar : holders(pool, note.attempt, streams::SidecarsPerStream)) {
+    const std::vector<fleet::Address> sidecars
+        = holders(note.origin.pool, note.attempt, streams::SidecarsPerStream);
+    for (const fleet::Address& sidecar : sidecars) {
         const auto [waiting, isFirst] = m_waiting.try_emplace(sidecar.ip);
         if (isFirst) {
             if (m_waiting.size() == 1)
--- a/apps/gateway/SidecarOrigins.h
+++ b/apps/gateway/SidecarOrigins.h
@@ -14,7 +14,7 @@
 public:
     SidecarOrigins(GatewayContext& context, PeerGroup& peers);
 
-    void note(const PoolId& pool, const streams::OriginNote& note);
+    void note(const streams::OriginNote& note);
     /** @return the sidecars that may hold the origin of a stream; none in pools without engines. */
     std::vector<fleet::Address> holders(
         const PoolId& pool, const RequestId& attempt, size_t count) const;
--- a/apps/gateway/StreamRegistry.cpp
+++ b/apps/gateway/StreamRegistry.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-    /** About 10 MB; at 1900 streams a second in a deployment, a gateway has a few hundred. */
+    /** About 12 MB; at 1900 streams a second in a deployment, a gateway has a few hundred. */
     constexpr size_t MaxOrigins = 50000;
     /** A datagram between zones takes a few milliseconds there and back. */
     constexpr Milliseconds QueryInterval { 50 };
@@ -62,19 +62,18 @@
 
 StreamRegistry::~StreamRegistry() = default;
 
-void StreamRegistry::noteBegun(
-    const PoolId& pool, const RequestId& attempt, const SoftwareVersion& version)
+void StreamRegistry::noteBegun(const RequestId& attempt, const streams::OriginRecord& origin)
 {
-    if (version.empty() || attempt.text().size() > streams::MaxAttemptLength)
+    if (attempt.text().size() > streams::MaxAttemptLength)
         return;
-    const streams::OriginNote note { attempt, version };
+    const streams::OriginNote note { attempt, origin };
     noteOrigin(note);
     const SteadyTime now = steadyNow();
     while (!m_recentNotes.empty() && now - m_recentNotes.front().first > RecentTime)
         m_recentNotes.pop_front();
     m_recentNotes.emplace_back(now, note);
     sendToHolders(note, m_gateways);
-    m_sidecars.note(pool, note);
+    m_sidecars.note(note);
 }
 
 void StreamRegistry::updateGateways(std::span<const EntryId> gateways)
@@ -105,13 +104,14 @@
     // A caller that sends its first attempt again does not name it.
     if (resume.firstAttempt.empty())
         resume.firstAttempt = resume.attempt;
-    if (const std::optional<SoftwareVersion> version = m_origins.find(resume.firstAttempt)) {
-        const streams::Origin origin { streams::Origin::Basis::Record, *version };
+    if (const std::optional<streams::OriginRecord> record = m_origins.find(resume.firstAttempt)) {
+        const streams::Origin origin { streams::Origin::Basis::Record, record->version,
+            record->pool };
         report(resume, origin, 0, Milliseconds(0));
         handler(origin);
         return nullptr;
     }
-    return startSearch(resume, m_versions.viewOf(resume.pool), std::move(handler));
+    return startSearch(resume, m_versions.viewOf(resume.pools), std::move(handler));
 }
 
 std::shared_ptr<void> StreamRegistry::startSearch(
@@ -122,7 +122,10 @@
     if (resume.firstAttempt.text().size() <= streams::MaxAttemptLength) {
         asked = streams::holdersOf(
             resume.firstAttempt, m_peers.gateways(), m_peers.id(), streams::QueriedGateways);
-        sidecars = m_sidecars.holders(resume.pool, resume.firstAttempt, streams::QueriedSidecars);
+        for (const PoolId& pool : resume.pools)
+            std::ranges::move(
+                m_sidecars.holders(pool, resume.firstAttempt, streams::QueriedSidecars),
+                std::back_inserter(sidecars));
     }
     const std::shared_ptr<Search> search = std::make_shared<Search>(*this, resume,
         streams::OriginSearch(std::move(own), { asked.size(), sidecars.size() }),
@@ -147,7 +150,7 @@
     }
     search.rounds += 1;
     const std::string datagram = peers::encode(streams::OriginQuery {
-        search.number, search.resume.firstAttempt, search.resume.pool, m_ownAddress });
+        search.number, search.resume.firstAttempt, search.resume.pools, m_ownAddress });
     for (const EntryId& gateway : search.asked)
         m_peers.send(gateway, datagram);
     for (const fleet::Address& sidecar : search.askedSidecars)
@@ -171,7 +174,7 @@
 void StreamRegistry::onQuery(const streams::OriginQuery& query)
 {
     const streams::OriginReply reply { query.number, query.attempt, m_peers.id(),
-        m_origins.find(query.attempt), m_versions.viewOf(query.pool) };
+        m_origins.find(query.attempt), m_versions.viewOf(query.pools) };
     m_peers.send(query.replyTo, peers::encode(reply));
 }
 
@@ -198,7 +201,7 @@
     m_searches.erase(search.number);
     search.timer.cancel();
     if (origin.basis == streams::Origin::Basis::Record)
-        noteOrigin({ search.resume.firstAttempt, origin.version });
+        noteOrigin({ search.resume.firstAttempt, { origin.version, origin.pool } });
     report(search.resume, origin, search.collected.replies(), since(search.startedAt));
     const Handler handler = std::move(search.handler);
     handler(origin);
@@ -211,7 +214,8 @@
     telemetry::logInfo("streams", "Looked up where a stream began.",
         { { "id", resume.attempt.text() }, { "resumes", resume.firstAttempt.text() },
             { "basis", basis }, { "version", origin.version.text() },
-            { "replies", std::to_string(replies) }, { "took_ms", millisecondsText(took) } });
+            { "pool", origin.pool.text() }, { "replies", std::to_string(replies) },
+            { "took_ms", millisecondsText(took) } });
     telemetry::count("stream_origins", { { "basis", basis } });
 }
 
--- a/apps/gateway/StreamRegistry.h
+++ b/apps/gateway/StreamRegistry.h
@@ -7,10 +7,10 @@
 namespace citronspoke::gateway {
 
 /**
- * Knows at which software version streams began. A gateway sends the origin of each stream that
- * callers may resume to some other gateways and sidecars, which the id of the caller's attempt
- * determines, and asks those when a caller resumes a stream that it does not know. Used by the
- * event loop's thread only.
+ * Knows at which software version, and in which pool, streams began. A gateway sends the origin of
+ * each stream that callers may resume to some other gateways and sidecars, which the id of the
+ * caller's attempt determines, and asks those when a caller resumes a stream that it does not know.
+ * Used by the event loop's thread only.
  */
 class StreamRegistry {
 public:
@@ -23,7 +23,7 @@
     /** Sends recent origins to the gateways that are new among all gateways. */
     void updateGateways(std::span<const EntryId> gateways);
     /** A stream has begun. To be called before the caller gets its first event. */
-    void noteBegun(const PoolId& pool, const RequestId& attempt, const SoftwareVersion& version);
+    void noteBegun(const RequestId& attempt, const streams::OriginRecord& origin);
 
     /** A caller's request to resume a stream. */
     struct Resume {
@@ -31,11 +31,12 @@
         RequestId attempt;
         /** The attempt that began the stream; empty when it is the current one. */
         RequestId firstAttempt;
-        PoolId pool;
+        /** Those to which the route leads. */
+        std::vector<PoolId> pools;
     };
     using Handler = std::function<void(const streams::Origin&)>;
     /**
-     * Finds out at which version a stream began.
+     * Finds out at which version, and in which pool, a stream began.
      * @param handler called once: now, or within 150 ms.
      * @return owner of the search; destroying it cancels the search, and the handler is not called.
      *         Null when the handler has been called.
--- a/apps/gateway/VersionRecords.cpp
+++ b/apps/gateway/VersionRecords.cpp
@@ -210,10 +210,13 @@
         m_context.storeAge() <= m_context.settings.applyTime };
 }
 
-streams::VersionView VersionRecords::viewOf(const PoolId& pool)
+streams::VersionView VersionRecords::viewOf(std::span<const PoolId> pools)
 {
     followTargets();
-    return m_histories[pool].view(steadyNow(), window(), contact());
+    std::vector<streams::VersionView> views;
+    for (const PoolId& pool : pools)
+        views.push_back(m_histories[pool].view(steadyNow(), window(), contact()));
+    return streams::combine(views);
 }
 
 } // namespace citronspoke::gateway
--- a/apps/gateway/VersionRecords.h
+++ b/apps/gateway/VersionRecords.h
@@ -23,8 +23,8 @@
     /** The store has this record of a target; it may be replaced or removed at once. */
     void noteTarget(const fleet::TargetRecord& record);
 
-    /** @return the versions to whose streams callers may come back. */
-    streams::VersionView viewOf(const PoolId& pool);
+    /** @return the versions of these pools to whose streams callers may come back. */
+    streams::VersionView viewOf(std::span<const PoolId> pools);
     /** @return how long callers may come back to a stream. */
     Milliseconds window() const;
 
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -25,6 +25,8 @@
     ~GatewayFixture();
 
     void addRoute(const std::string& prefix, const RouteOptions& options);
+    /** The next declarations have no routes but those that are added from now on. */
+    void removeRoutes() { m_routes = nlohmann::json::array(); }
     /** Sets an organisation of the next declarations and its keys. */
     void setOrganisation(const std::string& name, const std::vector<std::string>& keys,
         std::optional<int> priority = std::nullopt);
--- a/apps/gateway/tests/VersionTests.cpp
+++ b/apps/gateway/tests/VersionTests.cpp
@@ -264,8 +264,8 @@
         Caller caller(fixture.callers());
         caller.send(resumeText("a" + std::to_string(number), "first"));
         std::this_thread::sleep_for(Milliseconds(30));
-        fixture.sendDatagram(peers::encode(streams::OriginReply {
-            number, RequestId(repliedAttempt), EntryId("mute"), SoftwareVersion("v2"), {} }));
+        fixture.sendDatagram(peers::encode(streams::OriginReply { number, RequestId(repliedAttempt),
+            EntryId("mute"), streams::OriginRecord { SoftwareVersion("v2"), PoolId("llm") }, {} }));
         return caller.receive().status;
     };
     cr_assert_eq(resumeWithReply(1, "another"), 503U);
--- a/apps/sidecar/OriginHolder.cpp
+++ b/apps/sidecar/OriginHolder.cpp
@@ -6,12 +6,13 @@
 
 namespace {
 
-    /** About 6 MB. At 1900 streams a second and 840 engines, a sidecar gets 5 a second. */
+    /** About 7 MB. At 1900 streams a second and 840 engines, a sidecar gets 5 a second. */
     constexpr size_t MaxOrigins = 20000;
     /** Gateways look for streams for twice the longest timeout of a route, which a sidecar does not
      * know; timeouts are of seconds to a few minutes. */
     constexpr Milliseconds Retention { 600000 };
-    constexpr size_t MaxVersionLength = 64;
+    /** Of versions and pools. */
+    constexpr size_t MaxNameLength = 64;
 
 } // namespace
 
@@ -28,14 +29,15 @@
     m_origins.expire(now, Retention);
     for (const streams::OriginNote& note : batch.notes) {
         if (note.attempt.text().size() <= streams::MaxAttemptLength
-            && note.version.text().size() <= MaxVersionLength)
+            && note.origin.version.text().size() <= MaxNameLength
+            && note.origin.pool.text().size() <= MaxNameLength)
             m_origins.note(note, now);
     }
 }
 
 void OriginHolder::onQuery(const streams::OriginQuery& query)
 {
-    const std::optional<SoftwareVersion> origin = m_origins.find(query.attempt);
+    const std::optional<streams::OriginRecord> origin = m_origins.find(query.attempt);
     telemetry::count("origin_queries", { { "found", origin ? "yes" : "no" } });
     m_port.send(query.replyTo,
         peers::encode(streams::OriginReply { query.number, query.attempt, m_id, origin, {} }));
--- a/apps/sidecar/tests/OriginHolderTests.cpp
+++ b/apps/sidecar/tests/OriginHolderTests.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+streams::OriginRecord record(const std::string& version)
+{
+    return { SoftwareVersion(version), PoolId("llm") };
+}
+
 /** A holder, and the port of a gateway that asks it. */
 class HolderFixture {
 public:
@@ -31,14 +36,14 @@
     void note(const std::string& attempt, const std::string& version)
     {
         m_loop.post([this, attempt, version] {
-            m_holder.onBatch({ { { RequestId(attempt), SoftwareVersion(version) } } });
+            m_holder.onBatch({ { { RequestId(attempt), record(version) } } });
         });
     }
-    std::optional<SoftwareVersion> ask(const std::string& attempt)
+    std::optional<streams::OriginRecord> ask(const std::string& attempt)
     {
         m_reply = {};
         m_loop.post([this, attempt] {
-            m_holder.onQuery({ 7, RequestId(attempt), PoolId("llm"), m_gateway });
+            m_holder.onQuery({ 7, RequestId(attempt), { PoolId("llm") }, m_gateway });
         });
         const streams::OriginReply reply = m_reply.get_future().get();
         cr_assert(reply.number == 7 && reply.attempt == RequestId(attempt));
@@ -65,8 +70,8 @@
     HolderFixture fixture;
     fixture.note("a1", "v1");
     fixture.note("a2", "v2");
-    cr_assert(fixture.ask("a2") == SoftwareVersion("v2"));
-    cr_assert(fixture.ask("a1") == SoftwareVersion("v1"));
+    cr_assert(fixture.ask("a2") == record("v2"));
+    cr_assert(fixture.ask("a1") == record("v1"));
     cr_assert_not(fixture.ask("a3").has_value());
 }
 
--- a/fakes/fleet/FakeDocuments.cpp
+++ b/fakes/fleet/FakeDocuments.cpp
@@ -6,12 +6,16 @@
 
 Json routeDocument(const std::string& prefix, const RouteOptions& options)
 {
-    return { { "name", "r" + prefix }, { "hostname", RouteHost }, { "pathPrefix", prefix },
+    Json route { { "name", "r" + prefix }, { "hostname", RouteHost }, { "pathPrefix", prefix },
         { "routeKind", options.kind }, { "timeoutMs", options.timeoutMs },
-        { "targetLatencyMs", 500 }, { "priority", 1 }, { "service", options.service },
-        { "maxAttempts", options.attempts }, { "sticky", options.carriesPrompts },
-        { "resumable", options.isResumable }, { "public", options.isPublic },
-        { "targetGapMs", 300 } };
+        { "targetLatencyMs", 500 }, { "priority", 1 }, { "maxAttempts", options.attempts },
+        { "sticky", options.carriesPrompts }, { "resumable", options.isResumable },
+        { "public", options.isPublic }, { "targetGapMs", 300 } };
+    if (options.split.empty())
+        route["service"] = options.service;
+    for (const auto& [service, weight] : options.split)
+        route["trafficSplit"].push_back({ { "service", service }, { "weight", weight } });
+    return route;
 }
 
 std::string declarationText(int version, const Json& routes)
--- a/fakes/fleet/FakeDocuments.h
+++ b/fakes/fleet/FakeDocuments.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -19,6 +20,8 @@
     bool isResumable = false;
     bool carriesPrompts = false;
     bool isPublic = false;
+    /** Weights by service; takes the place of the one service. */
+    std::map<std::string, int> split {};
 };
 
 /** @return a route in the JSON form that operators write. */
--- a/libs/dispatch/include/dispatch/Dispatch.h
+++ b/libs/dispatch/include/dispatch/Dispatch.h
@@ -42,6 +42,8 @@
  * @throws PreconditionViolated when the route has no pool.
  */
 const PoolId& choosePool(const fleet::Route& route, double draw);
+/** @return whether the route sends requests to the pool. */
+bool leadsTo(const fleet::Route& route, const PoolId& pool);
 
 /** Number of urgency levels by which engines order prompts for prefill; 0 is prefilled first. */
 inline constexpr size_t UrgencyLevels = 10;
--- a/libs/dispatch/src/RouteTable.cpp
+++ b/libs/dispatch/src/RouteTable.cpp
@@ -46,4 +46,10 @@
     return route.pools.back().pool;
 }
 
+bool leadsTo(const fleet::Route& route, const PoolId& pool)
+{
+    return std::any_of(route.pools.begin(), route.pools.end(),
+        [&pool](const fleet::PoolShare& share) { return share.pool == pool && share.weight > 0; });
+}
+
 } // namespace citronspoke::dispatch
--- a/libs/dispatch/tests/RouteTableTests.cpp
+++ b/libs/dispatch/tests/RouteTableTests.cpp
@@ -40,3 +40,12 @@
     cr_assert(choosePool(split, 0.91) == PoolId("two"));
     cr_assert(choosePool(split, 0.9999) == PoolId("two"));
 }
+
+Test(routes, lead_to_the_pools_that_get_requests)
+{
+    fleet::Route split = route("r", "h", "/");
+    cr_assert(leadsTo(split, PoolId("one")) && leadsTo(split, PoolId("two")));
+    cr_assert_not(leadsTo(split, PoolId("three")));
+    split.pools.back().weight = 0;
+    cr_assert_not(leadsTo(split, PoolId("two")));
+}
--- a/libs/peers/src/OriginBatchCodec.cpp
+++ b/libs/peers/src/OriginBatchCodec.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    /** A version and the attempts that began at it. */
-    using GroupTuple = std::tuple<std::string, std::vector<std::string>>;
+    /** A version, its pool and the attempts that began at it. */
+    using GroupTuple = std::tuple<std::string, std::string, std::vector<std::string>>;
     /** Kind, groups. */
     using BatchTuple = std::tuple<uint8_t, std::vector<GroupTuple>>;
 
@@ -19,9 +19,10 @@
             if (std::get<0>(tuple) != static_cast<uint8_t>(OriginKind::Batch))
                 throw UpdateUnreadable();
             OriginBatch batch;
-            for (const auto& [version, attempts] : std::get<1>(tuple)) {
+            for (const auto& [version, pool, attempts] : std::get<1>(tuple)) {
+                const streams::OriginRecord origin { SoftwareVersion(version), PoolId(pool) };
                 for (const std::string& attempt : attempts)
-                    batch.notes.push_back({ RequestId(attempt), SoftwareVersion(version) });
+                    batch.notes.push_back({ RequestId(attempt), origin });
             }
             return batch;
         } catch (const std::exception&) {
@@ -34,11 +35,14 @@
 
 std::string encode(const OriginBatch& batch)
 {
-    std::map<std::string, std::vector<std::string>> byVersion;
+    std::map<std::pair<std::string, std::string>, std::vector<std::string>> byOrigin;
     for (const streams::OriginNote& note : batch.notes)
-        byVersion[note.version.text()].push_back(note.attempt.text());
-    return pack(BatchTuple(static_cast<uint8_t>(OriginKind::Batch),
-        std::vector<GroupTuple>(byVersion.begin(), byVersion.end())));
+        byOrigin[{ note.origin.version.text(), note.origin.pool.text() }].push_back(
+            note.attempt.text());
+    std::vector<GroupTuple> groups;
+    for (auto& [origin, attempts] : byOrigin)
+        groups.emplace_back(origin.first, origin.second, std::move(attempts));
+    return pack(BatchTuple(static_cast<uint8_t>(OriginKind::Batch), std::move(groups)));
 }
 
 SidecarMessage decodeSidecarMessage(std::string_view datagram)
--- a/libs/peers/src/OriginCodec.cpp
+++ b/libs/peers/src/OriginCodec.cpp
@@ -6,27 +6,31 @@
 
 namespace {
 
-    /** Kind, attempt, version. */
-    using NoteTuple = std::tuple<uint8_t, std::string, std::string>;
-    /** Kind, number, attempt, pool, address for the reply. */
-    using QueryTuple = std::tuple<uint8_t, uint64_t, std::string, std::string, std::string>;
-    /** Kind, number, attempt, gateway, whether there is a record, its version, versions seen,
-     * whether they cover the window, whether they are current. */
+    /** Kind, attempt, version, pool. */
+    using NoteTuple = std::tuple<uint8_t, std::string, std::string, std::string>;
+    /** Kind, number, attempt, pools, address for the reply. */
+    using QueryTuple
+        = std::tuple<uint8_t, uint64_t, std::string, std::vector<std::string>, std::string>;
+    /** Kind, number, attempt, gateway, whether there is a record, its version and pool, versions
+     * seen, whether they cover the window, whether they are current. */
     using ReplyTuple = std::tuple<uint8_t, uint64_t, std::string, std::string, bool, std::string,
-        std::vector<std::string>, bool, bool>;
+        std::string, std::vector<std::string>, bool, bool>;
 
 } // namespace
 
 std::string encode(const streams::OriginNote& note)
 {
-    return pack(NoteTuple(
-        static_cast<uint8_t>(OriginKind::Note), note.attempt.text(), note.version.text()));
+    return pack(NoteTuple(static_cast<uint8_t>(OriginKind::Note), note.attempt.text(),
+        note.origin.version.text(), note.origin.pool.text()));
 }
 
 std::string encode(const streams::OriginQuery& query)
 {
+    std::vector<std::string> pools;
+    for (const PoolId& pool : query.pools)
+        pools.push_back(pool.text());
     return pack(QueryTuple(static_cast<uint8_t>(OriginKind::Query), query.number,
-        query.attempt.text(), query.pool.text(), query.replyTo.text()));
+        query.attempt.text(), std::move(pools), query.replyTo.text()));
 }
 
 std::string encode(const streams::OriginReply& reply)
@@ -38,10 +42,10 @@
         if (versions.size() < MaxVersions)
             versions.push_back(version.text());
     }
+    const streams::OriginRecord origin = reply.origin.value_or(streams::OriginRecord());
     return pack(ReplyTuple(static_cast<uint8_t>(OriginKind::Reply), reply.number,
-        reply.attempt.text(), reply.gateway.text(), reply.origin.has_value(),
-        reply.origin.value_or(SoftwareVersion()).text(), std::move(versions),
-        reply.view.coversWindow, reply.view.isCurrent));
+        reply.attempt.text(), reply.gateway.text(), reply.origin.has_value(), origin.version.text(),
+        origin.pool.text(), std::move(versions), reply.view.coversWindow, reply.view.isCurrent));
 }
 
 namespace {
@@ -50,24 +54,28 @@
     {
         switch (static_cast<OriginKind>(object.via.array.ptr[0].as<uint8_t>())) {
         case OriginKind::Note: {
-            const auto [kind, attempt, version] = unpackArray<NoteTuple>(object);
-            return streams::OriginNote { RequestId(attempt), SoftwareVersion(version) };
+            const auto [kind, attempt, version, pool] = unpackArray<NoteTuple>(object);
+            return streams::OriginNote { RequestId(attempt),
+                { SoftwareVersion(version), PoolId(pool) } };
         }
         case OriginKind::Query: {
-            const auto [kind, number, attempt, pool, replyTo] = unpackArray<QueryTuple>(object);
-            return streams::OriginQuery { number, RequestId(attempt), PoolId(pool),
+            const auto [kind, number, attempt, pools, replyTo] = unpackArray<QueryTuple>(object);
+            streams::OriginQuery query { number, RequestId(attempt), {},
                 fleet::requireAddress(replyTo) };
+            for (const std::string& pool : pools)
+                query.pools.emplace_back(pool);
+            return query;
         }
         case OriginKind::Reply: {
-            const auto [kind, number, attempt, gateway, hasOrigin, origin, versions, coversWindow,
-                isCurrent]
+            const auto [kind, number, attempt, gateway, hasOrigin, version, pool, versions,
+                coversWindow, isCurrent]
                 = unpackArray<ReplyTuple>(object);
             streams::OriginReply reply { number, RequestId(attempt), EntryId(gateway), std::nullopt,
                 { {}, coversWindow, isCurrent } };
             if (hasOrigin)
-                reply.origin = SoftwareVersion(origin);
-            for (const std::string& version : versions)
-                reply.view.versions.insert(SoftwareVersion(version));
+                reply.origin = streams::OriginRecord { SoftwareVersion(version), PoolId(pool) };
+            for (const std::string& seen : versions)
+                reply.view.versions.insert(SoftwareVersion(seen));
             return reply;
         }
         case OriginKind::Batch:
--- a/libs/peers/tests/PeersTests.cpp
+++ b/libs/peers/tests/PeersTests.cpp
@@ -181,22 +181,23 @@
 
 Test(origin_messages, survive_encoding_and_are_told_from_updates)
 {
-    const Message note
-        = decodeMessage(encode(streams::OriginNote { RequestId("a1"), SoftwareVersion("v1") }));
+    const streams::OriginRecord origin { SoftwareVersion("v1"), PoolId("llm") };
+    const Message note = decodeMessage(encode(streams::OriginNote { RequestId("a1"), origin }));
     cr_assert(std::get<streams::OriginNote>(note).attempt == RequestId("a1"));
-    cr_assert(std::get<streams::OriginNote>(note).version == SoftwareVersion("v1"));
-    const Message query = decodeMessage(encode(
-        streams::OriginQuery { 300, RequestId("a1"), PoolId("llm"), { "127.0.0.1", 9000 } }));
+    cr_assert(std::get<streams::OriginNote>(note).origin == origin);
+    const std::vector<PoolId> pools { PoolId("llm"), PoolId("other") };
+    const Message query = decodeMessage(
+        encode(streams::OriginQuery { 300, RequestId("a1"), pools, { "127.0.0.1", 9000 } }));
     cr_assert_eq(std::get<streams::OriginQuery>(query).number, 300U);
-    cr_assert(std::get<streams::OriginQuery>(query).pool == PoolId("llm"));
+    cr_assert(std::get<streams::OriginQuery>(query).pools == pools);
     cr_assert_eq(std::get<streams::OriginQuery>(query).replyTo.port, 9000);
-    streams::OriginReply reply { 300, RequestId("a1"), EntryId("g"), SoftwareVersion("v2"), {} };
+    streams::OriginReply reply { 300, RequestId("a1"), EntryId("g"), origin, {} };
     reply.view = { { SoftwareVersion("v1"), SoftwareVersion("v2") }, true, false };
     const Message received = decodeMessage(encode(reply));
     const streams::OriginReply& decoded = std::get<streams::OriginReply>(received);
     cr_assert(decoded.number == 300 && decoded.attempt == RequestId("a1")
         && decoded.gateway == EntryId("g"));
-    cr_assert(decoded.origin == SoftwareVersion("v2"));
+    cr_assert(decoded.origin == origin);
     cr_assert(decoded.view.versions == reply.view.versions);
     cr_assert(decoded.view.coversWindow && !decoded.view.isCurrent);
     Outbox outbox;
@@ -207,18 +208,22 @@
 
 Test(origin_batches, survive_encoding_and_are_told_from_role_requests_and_queries)
 {
-    const std::vector<streams::OriginNote> notes { { RequestId("a1"), SoftwareVersion("v1") },
-        { RequestId("a2"), SoftwareVersion("v2") }, { RequestId("a3"), SoftwareVersion("v1") } };
+    const streams::OriginRecord first { SoftwareVersion("v1"), PoolId("llm") };
+    const streams::OriginRecord otherVersion { SoftwareVersion("v2"), PoolId("llm") };
+    const streams::OriginRecord otherPool { SoftwareVersion("v1"), PoolId("other") };
+    const std::vector<streams::OriginNote> notes { { RequestId("a1"), first },
+        { RequestId("a2"), otherVersion }, { RequestId("a3"), first },
+        { RequestId("a4"), otherPool } };
     const SidecarMessage batch = decodeSidecarMessage(encode(OriginBatch { notes }));
-    std::map<RequestId, SoftwareVersion> received;
+    std::map<RequestId, streams::OriginRecord> received;
     for (const streams::OriginNote& note : std::get<OriginBatch>(batch).notes)
-        received[note.attempt] = note.version;
+        received[note.attempt] = note.origin;
     cr_assert_eq(received.size(), notes.size());
     for (const streams::OriginNote& note : notes)
-        cr_assert(received[note.attempt] == note.version);
+        cr_assert(received[note.attempt] == note.origin);
     const fleet::Address gateway { "127.0.0.1", 9000 };
     const SidecarMessage query = decodeSidecarMessage(
-        encode(streams::OriginQuery { 7, RequestId("a1"), PoolId("llm"), gateway }));
+        encode(streams::OriginQuery { 7, RequestId("a1"), { PoolId("llm") }, gateway }));
     cr_assert(std::get<streams::OriginQuery>(query).replyTo == gateway);
     const roles::RoleChange change { TargetId("e1"), UnixMillis(5), EngineRole::Decode };
     const SidecarMessage request
@@ -229,7 +234,7 @@
 Test(origin_batches, that_are_malformed_are_rejected)
 {
     const std::string batch
-        = encode(OriginBatch { { { RequestId("a1"), SoftwareVersion("v1") } } });
+        = encode(OriginBatch { { { RequestId("a1"), { SoftwareVersion("v1"), {} } } } });
     const std::string reply = encode(streams::OriginReply {});
     const std::string note = encode(streams::OriginNote {});
     for (const std::string& malformed :
@@ -246,8 +251,8 @@
 
 Test(origin_messages, that_are_malformed_are_rejected)
 {
-    const std::string query
-        = encode(streams::OriginQuery { 7, RequestId("a1"), PoolId("llm"), { "127.0.0.1", 9000 } });
+    const std::string query = encode(
+        streams::OriginQuery { 7, RequestId("a1"), { PoolId("llm") }, { "127.0.0.1", 9000 } });
     for (const std::string& malformed : { std::string(), std::string("\x91\x09", 2),
              std::string("\x91\x01", 2), query.substr(0, query.size() - 1), query.substr(0, 3) }) {
         bool isRejected = false;
--- a/libs/streams/include/streams/Streams.h
+++ b/libs/streams/include/streams/Streams.h
@@ -16,14 +16,24 @@
  */
 namespace citronspoke::streams {
 
+/** Where a stream began. */
+struct OriginRecord {
+    /** Of the target; empty when its record states none. */
+    SoftwareVersion version;
+    /** That of the target. A route may lead to several pools, each with versions of its own. */
+    PoolId pool;
+
+    bool operator==(const OriginRecord&) const = default;
+};
+
 /** A gateway's record that a stream has begun, for the gateways that hold a copy. */
 struct OriginNote {
     /** The caller's attempt that began the stream; callers that resume it name this one. */
     RequestId attempt;
-    SoftwareVersion version;
+    OriginRecord origin;
 };
 
-/** What a gateway knows of the versions of a pool's targets. */
+/** What a gateway knows of the versions of the targets in one or more pools. */
 struct VersionView {
     /** Versions of the targets within the window that the view was made for. */
     std::set<SoftwareVersion> versions;
@@ -38,7 +48,8 @@
     /** Chosen by the asking gateway, to match the reply. */
     uint64_t number = 0;
     RequestId attempt;
-    PoolId pool;
+    /** Those in which the stream may have begun; the reply tells their versions. */
+    std::vector<PoolId> pools;
     fleet::Address replyTo;
 };
 
@@ -50,7 +61,7 @@
     /** The gateway that replies. */
     EntryId gateway;
     /** None when the gateway has no record of the stream. */
-    std::optional<SoftwareVersion> origin;
+    std::optional<OriginRecord> origin;
     VersionView view;
 };
 
@@ -94,16 +105,16 @@
     explicit StreamOrigins(size_t capacity);
     /** The first note of a stream counts. */
     void note(const OriginNote& note, SteadyTime now);
-    std::optional<SoftwareVersion> find(const RequestId& attempt) const;
+    std::optional<OriginRecord> find(const RequestId& attempt) const;
     /** Drops streams that were noted longer ago than @p retention. */
     void expire(SteadyTime now, Milliseconds retention);
-    size_t size() const noexcept { return m_versions.size(); }
+    size_t size() const noexcept { return m_origins.size(); }
 
 private:
     void dropOldest();
 
     size_t m_capacity;
-    std::unordered_map<std::string, SoftwareVersion> m_versions;
+    std::unordered_map<std::string, OriginRecord> m_origins;
     /** Oldest first. */
     std::deque<std::pair<SteadyTime, RequestId>> m_order;
 };
@@ -142,6 +153,13 @@
     std::map<SoftwareVersion, SteadyTime> m_lastPresent;
 };
 
+/**
+ * @param views one for each pool; none for no pool.
+ * @return the view of all pools together. It covers the window, and is current, when each of them
+ *         does and is.
+ */
+VersionView combine(std::span<const VersionView> views);
+
 /** What is known of the origin of a stream, and why. */
 struct Origin {
     enum class Basis : uint8_t {
@@ -153,8 +171,10 @@
         Unknown,
     };
     Basis basis = Basis::Unknown;
-    /** Empty when it cannot be told, or when no target of the pool states one. */
+    /** Empty when it cannot be told, or when no target of the pools states one. */
     SoftwareVersion version;
+    /** Empty without a record. */
+    PoolId pool;
 };
 
 /** @return the name of the basis in log lines and metrics. */
@@ -190,7 +210,7 @@
     Asked m_asked;
     std::set<EntryId> m_replied;
     std::set<EntryId> m_sidecarsReplied;
-    std::optional<SoftwareVersion> m_recorded;
+    std::optional<OriginRecord> m_recorded;
     std::set<SoftwareVersion> m_versions;
     bool m_coversWindow;
     /** A view covers the window and is current. */
--- a/libs/streams/src/OriginSearch.cpp
+++ b/libs/streams/src/OriginSearch.cpp
@@ -55,9 +55,9 @@
 Origin OriginSearch::result() const
 {
     if (m_recorded)
-        return { Origin::Basis::Record, *m_recorded };
+        return { Origin::Basis::Record, m_recorded->version, m_recorded->pool };
     if (m_versions.size() == 1 && isConfirmed())
-        return { Origin::Basis::OnlyVersion, *m_versions.begin() };
+        return { Origin::Basis::OnlyVersion, *m_versions.begin(), {} };
     return {};
 }
 
--- a/libs/streams/src/StreamOrigins.cpp
+++ b/libs/streams/src/StreamOrigins.cpp
@@ -28,17 +28,17 @@
 
 void StreamOrigins::note(const OriginNote& note, SteadyTime now)
 {
-    if (!m_versions.try_emplace(note.attempt.text(), note.version).second)
+    if (!m_origins.try_emplace(note.attempt.text(), note.origin).second)
         return;
     m_order.emplace_back(now, note.attempt);
-    if (m_versions.size() > m_capacity)
+    if (m_origins.size() > m_capacity)
         dropOldest();
 }
 
-std::optional<SoftwareVersion> StreamOrigins::find(const RequestId& attempt) const
+std::optional<OriginRecord> StreamOrigins::find(const RequestId& attempt) const
 {
-    const auto found = m_versions.find(attempt.text());
-    return found == m_versions.end() ? std::nullopt : std::optional(found->second);
+    const auto found = m_origins.find(attempt.text());
+    return found == m_origins.end() ? std::nullopt : std::optional(found->second);
 }
 
 void StreamOrigins::expire(SteadyTime now, Milliseconds retention)
@@ -49,7 +49,7 @@
 
 void StreamOrigins::dropOldest()
 {
-    m_versions.erase(m_order.front().second.text());
+    m_origins.erase(m_order.front().second.text());
     m_order.pop_front();
 }
 
--- a/libs/streams/src/VersionHistory.cpp
+++ b/libs/streams/src/VersionHistory.cpp
@@ -30,11 +30,22 @@
     }
     // Where neither targets nor records state versions, there are none to be joined.
     const bool isWithoutVersions = view.versions == std::set { SoftwareVersion() };
-    view.coversWindow = !m_present.empty() && contact.followedSince
-        && (isWithoutVersions || now - *contact.followedSince >= window);
+    view.coversWindow
+        = contact.followedSince && (isWithoutVersions || now - *contact.followedSince >= window);
     return view;
 }
 
+VersionView combine(std::span<const VersionView> views)
+{
+    VersionView all { {}, !views.empty(), !views.empty() };
+    for (const VersionView& view : views) {
+        all.versions.insert(view.versions.begin(), view.versions.end());
+        all.coversWindow = all.coversWindow && view.coversWindow;
+        all.isCurrent = all.isCurrent && view.isCurrent;
+    }
+    return all;
+}
+
 void VersionHistory::expire(SteadyTime now, Milliseconds window)
 {
     std::erase_if(
--- a/libs/streams/tests/GatewayRestartTests.cpp
+++ b/libs/streams/tests/GatewayRestartTests.cpp
@@ -59,7 +59,7 @@
         const RequestId attempt("attempt-" + std::to_string(number));
         for (const EntryId& machine : sidecarsOf(attempt, before, SidecarsPerStream)) {
             if (!isDatagramLost(random))
-                sidecars.at(machine).note({ attempt, began.back() }, Start);
+                sidecars.at(machine).note({ attempt, { began.back(), {} } }, Start);
         }
     }
     std::set<EntryId> lost;
--- a/libs/streams/tests/StreamOriginsTests.cpp
+++ b/libs/streams/tests/StreamOriginsTests.cpp
@@ -14,6 +14,11 @@
 
 SoftwareVersion version(const std::string& text) { return SoftwareVersion(text); }
 
+OriginRecord record(const std::string& version, const std::string& pool = "llm")
+{
+    return { SoftwareVersion(version), PoolId(pool) };
+}
+
 VersionView view(const std::set<SoftwareVersion>& versions, bool coversWindow, bool isCurrent)
 {
     return { versions, coversWindow, isCurrent };
@@ -37,9 +42,9 @@
 Test(origins, the_first_note_of_a_stream_counts_until_it_expires)
 {
     StreamOrigins origins(10);
-    origins.note({ RequestId("a"), version("v1") }, Start);
-    origins.note({ RequestId("a"), version("v2") }, Start + Milliseconds(10));
-    cr_assert(origins.find(RequestId("a")) == version("v1"));
+    origins.note({ RequestId("a"), record("v1") }, Start);
+    origins.note({ RequestId("a"), record("v2") }, Start + Milliseconds(10));
+    cr_assert(origins.find(RequestId("a")) == record("v1"));
     cr_assert_not(origins.find(RequestId("b")).has_value());
     origins.expire(Start + Window, Window);
     cr_assert(origins.find(RequestId("a")).has_value());
@@ -51,7 +56,7 @@
 {
     StreamOrigins origins(3);
     for (const char* attempt : { "a", "b", "c", "d" })
-        origins.note({ RequestId(attempt), version("v1") }, Start);
+        origins.note({ RequestId(attempt), record("v1") }, Start);
     cr_assert_eq(origins.size(), 3U);
     cr_assert_not(origins.find(RequestId("a")).has_value());
     cr_assert(origins.find(RequestId("d")).has_value());
@@ -181,15 +186,33 @@
     cr_assert_eq(history.view(Start + Window, Window, contact(Start)).versions.size(), 2U);
 }
 
+// Guards against a gateway that takes the only version of one pool for that of a stream which may
+// have begun in another pool of the route.
+Test(version_history, the_view_of_several_pools_has_the_versions_of_all_and_covers_what_all_cover)
+{
+    const VersionView first = view({ version("v1") }, true, true);
+    const VersionView second = view({ version("v2") }, true, true);
+    const VersionView both = combine(std::vector { first, second });
+    cr_assert(both.versions == std::set({ version("v1"), version("v2") }));
+    cr_assert(both.coversWindow && both.isCurrent);
+    const VersionView partial = combine(std::vector { first, view({}, false, false) });
+    cr_assert(!partial.coversWindow && !partial.isCurrent);
+    cr_assert_not(combine({}).coversWindow);
+    // No stream has begun in a pool without targets.
+    const VersionView unused = VersionHistory().view(Start + Window, Window, contact(Start));
+    cr_assert(unused.coversWindow && unused.versions.empty());
+}
+
 Test(origin_search, a_record_decides_at_once)
 {
     OriginSearch search(view({ version("v1"), version("v2") }, true, true), { 5, 0 });
     search.add({ 1, {}, EntryId("g1"), std::nullopt, {} });
     cr_assert_not(search.isComplete());
-    search.add({ 1, {}, EntryId("g2"), version("v2"), {} });
+    search.add({ 1, {}, EntryId("g2"), record("v2", "other"), {} });
     cr_assert(search.isComplete());
     cr_assert(search.result().basis == Origin::Basis::Record);
     cr_assert(search.result().version == version("v2"));
+    cr_assert(search.result().pool == PoolId("other"));
 }
 
 // Guards against a guess at the version of a stream that no gateway has a record of.
