Callers: open connections follow the limits of the newest declaration

Cause: CallerConnection copied the limits into its parser when it was accepted. Change: the parser's limits are set before each parse, to those of the newest declaration and, for a request that has begun, those at its begin where they are wider.

--- a/apps/gateway/CallerConnection.cpp
+++ b/apps/gateway/CallerConnection.cpp
@@ -12,24 +12,6 @@
      * streams of tokens have a few kilobytes. */
     constexpr size_t MaxRelayedBytes = size_t { 256 } << 10;
 
-    fleet::CallerLimits callerLimits(const GatewayContext& context)
-    {
-        return context.routes ? context.routes->declaration().limits : fleet::CallerLimits {};
-    }
-
-    http1::MessageLimits messageLimits(const GatewayContext& context)
-    {
-        const fleet::CallerLimits limits = callerLimits(context);
-        return { limits.headBytes, limits.bodyBytes };
-    }
-
-    /** @return largest part of a request that a caller may send after its response. */
-    size_t discardableBytes(const GatewayContext& context)
-    {
-        const fleet::CallerLimits limits = callerLimits(context);
-        return limits.headBytes + limits.bodyBytes;
-    }
-
 } // namespace
 
 CallerConnection::CallerConnection(
@@ -37,7 +19,7 @@
     : m_context(context)
     , m_connection(std::move(connection))
     , m_onClosed(std::move(onClosed))
-    , m_parser(messageLimits(context))
+    , m_parser(http1::MessageLimits {})
     , m_timer(context.loop)
 {
 }
@@ -123,6 +105,7 @@
     size_t used = 0;
     while (used < bytes.size() && !m_handler && !m_hasStoppedReceiving && !m_isClosed) {
         const bool wasBetweenMessages = m_parser.isBetweenMessages();
+        applyLimits();
         std::vector<http1::RequestEvent> events;
         try {
             used += m_parser.feed(bytes.substr(used), events);
@@ -254,7 +237,9 @@
             return;
         self->m_handler.reset();
         if (self->m_closesAfterResponse) {
-            self->m_connection->closeAfterWrites(discardableBytes(self->m_context));
+            // The most that a caller may still send of a request that was refused.
+            const fleet::CallerLimits limits = self->messageLimits();
+            self->m_connection->closeAfterWrites(limits.headBytes + limits.bodyBytes);
             self->m_isClosed = true;
             self->m_timer.cancel();
             self->m_onClosed();
@@ -265,47 +250,6 @@
     });
 }
 
-void CallerConnection::reject(http1::ParseFault fault)
-{
-    uint32_t status = 400;
-    std::string_view reason = "Bad Request";
-    if (fault == http1::ParseFault::HeadTooLarge) {
-        status = 431;
-        reason = "Request Header Fields Too Large";
-    } else if (fault == http1::ParseFault::BodyTooLarge) {
-        status = 413;
-        reason = "Content Too Large";
-    }
-    telemetry::logWarning("caller", "Rejected a request that is malformed or too large.",
-        { { "status", std::to_string(status) } });
-    telemetry::count("rejected_messages", { { "status", std::to_string(status) } });
-    stopReceiving();
-    respond(status, reason, {}, {});
-}
-
-void CallerConnection::armTimer()
-{
-    m_waitingSince = steadyNow();
-    const fleet::CallerLimits limits = callerLimits(m_context);
-    const std::weak_ptr<CallerConnection> weak = weak_from_this();
-    m_timer.arm(m_parser.isBetweenMessages() ? limits.idleTimeout : limits.headTimeout, [weak] {
-        if (const std::shared_ptr<CallerConnection> self = weak.lock())
-            self->onTimeout();
-    });
-}
-
-void CallerConnection::onTimeout()
-{
-    if (m_handler || m_hasStoppedReceiving || m_isClosed)
-        return;
-    if (isIdle()) {
-        close();
-        return;
-    }
-    stopReceiving();
-    respond(408, "Request Timeout", {}, {});
-}
-
 void CallerConnection::close()
 {
     if (m_isClosed)
--- a/apps/gateway/CallerConnection.h
+++ b/apps/gateway/CallerConnection.h
@@ -27,6 +27,8 @@
     SteadyTime waitingSince() const noexcept { return m_waitingSince; }
     /** Closes a connection that serves no request: another caller needs it. */
     void closeForRoom();
+    /** Adjusts the time for which the connection waits; the limits of the declaration changed. */
+    void followLimits();
 
     void respond(uint32_t status, std::string_view reason, const http1::Headers& headers,
         std::shared_ptr<const http1::Body> body) override;
@@ -63,7 +65,20 @@
     void stopReceiving();
     Milliseconds retryAfter();
     void reject(http1::ParseFault fault);
+    /** @return whether a newer declaration may allow larger requests. */
+    bool mayLimitsBeStale() const;
+    /**
+     * @return the limits on the request that is being received, or on the next one: those of the
+     *         newest declaration or, where they are wider, those in force when the request began.
+     */
+    fleet::CallerLimits messageLimits() const;
+    /** Applies the limits to what is received from now on. */
+    void applyLimits();
+    /** @return how long the connection may be idle, or a request may take to arrive. */
+    Milliseconds waitLimit() const;
+    /** Begins to wait for the next bytes that matter: a request, or the rest of one. */
     void armTimer();
+    void armTimer(Milliseconds delay);
     void onTimeout();
     void close();
     void addConnectionField(http1::Headers& headers);
@@ -74,6 +89,10 @@
     http1::RequestParser m_parser;
     channels::Timer m_timer;
     SteadyTime m_waitingSince;
+    /** From m_waitingSince on. */
+    Milliseconds m_waitLimit { 0 };
+    /** Of the request that is being received; none when no declaration was known yet. */
+    std::optional<fleet::CallerLimits> m_limitsAtBegin;
     /** Received while another request is served. */
     std::string m_pending;
     ReceivedRequest m_request;
--- a/apps/gateway/Gateway.cpp
+++ b/apps/gateway/Gateway.cpp
@@ -56,7 +56,7 @@
                   onStoreChange(change, recovery);
               } })
     , m_peers(m_context, m_store, fleet::requireAddress(settings.operatorAddress))
-    , m_declarations(m_context, [this] { startCacheInventory(); })
+    , m_declarations(m_context, [this] { onAdopted(); })
     , m_exchange(m_context, m_peers, m_declarations, watchPollTimeout(settings) + ResponseMargin)
     , m_versions(m_context, m_peers, m_store)
     , m_quarantineRecord(m_context, m_peers, m_store)
@@ -161,6 +161,16 @@
         m_declarations.offer(item.value, "store");
 }
 
+void Gateway::onAdopted()
+{
+    startCacheInventory();
+    const fleet::CallerLimits& limits = m_context.routes->declaration().limits;
+    if (std::exchange(m_callerLimits, limits) == limits)
+        return;
+    for (const std::shared_ptr<CallerConnection>& connection : m_connections)
+        connection->followLimits();
+}
+
 std::optional<fleet::TargetRecord> Gateway::decodeTarget(const adapter::StoreItem& item) const
 {
     try {
--- a/apps/gateway/Gateway.h
+++ b/apps/gateway/Gateway.h
@@ -40,6 +40,8 @@
         std::span<const adapter::StoreItem> items, const fleet::StoreRecovery& recovery);
     void onStoreChange(const adapter::KeyChange& change, const fleet::StoreRecovery& recovery);
     void onDeclaration(const adapter::StoreItem& item);
+    /** A newer declaration is in force. */
+    void onAdopted();
     void onTargets(std::span<const adapter::StoreItem> items, const fleet::StoreRecovery& recovery);
     void onTargetChange(const adapter::KeyChange& change, SteadyTime mayReturnUntil);
     std::optional<fleet::TargetRecord> decodeTarget(const adapter::StoreItem& item) const;
@@ -80,6 +82,8 @@
     channels::StatusServer m_readinessServer;
     channels::StatusServer m_operatorServer;
     std::set<std::shared_ptr<CallerConnection>> m_connections;
+    /** Those that the connections follow. */
+    fleet::CallerLimits m_callerLimits;
     channels::Timer m_expiryTimer;
     channels::Timer m_stopTimer;
     Milliseconds m_stopGrace;
--- a/apps/gateway/tests/GatewayFixture.cpp
+++ b/apps/gateway/tests/GatewayFixture.cpp
@@ -49,10 +49,10 @@
 
 std::string GatewayFixture::declarationText(int version) const
 {
-    std::string text = fakes::declarationText(version, m_routes);
+    nlohmann::json document = nlohmann::json::parse(fakes::declarationText(version, m_routes));
+    document["limits"].update(m_limits);
     if (m_organisations.is_null())
-        return text;
-    nlohmann::json document = nlohmann::json::parse(text);
+        return document.dump();
     document["tenants"] = nlohmann::json::array();
     for (const auto& organisation : m_organisations)
         document["tenants"].push_back(organisation);
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -32,6 +32,8 @@
         std::optional<int> priority = std::nullopt);
     /** The next declarations have no organisations. */
     void removeOrganisations() { m_organisations = nullptr; }
+    /** Sets a limit on callers, by its name in the next declarations. */
+    void setLimit(const std::string& name, int value) { m_limits[name] = value; }
     /** Writes the declaration with the routes added so far. */
     void declare(int version);
     /** @return the document that declare() writes. */
@@ -113,6 +115,8 @@
 
     fakes::FakeFleetStore m_store;
     nlohmann::json m_routes = nlohmann::json::array();
+    /** By name; those that are not set have the values of the fake document. */
+    nlohmann::json m_limits = nlohmann::json::object();
     /** By name; null while the declarations have no organisations. */
     nlohmann::json m_organisations;
     mutable std::mutex m_mutex;
--- a/libs/fleet/include/fleet/Fleet.h
+++ b/libs/fleet/include/fleet/Fleet.h
@@ -133,8 +133,13 @@
     size_t bodyBytes = 4 << 20;
     Milliseconds headTimeout { 3000 };
     Milliseconds idleTimeout { 15000 };
+
+    bool operator==(const CallerLimits&) const = default;
 };
 
+/** @return for each limit the wider one of two. */
+CallerLimits widest(const CallerLimits& left, const CallerLimits& right);
+
 /** The operators' declaration as a whole. */
 struct Declaration {
     ConfigRevision revision;
--- a/libs/fleet/src/Fleet.cpp
+++ b/libs/fleet/src/Fleet.cpp
@@ -42,6 +42,13 @@
     return *address;
 }
 
+CallerLimits widest(const CallerLimits& left, const CallerLimits& right)
+{
+    return { std::max(left.headBytes, right.headBytes), std::max(left.bodyBytes, right.bodyBytes),
+        std::max(left.headTimeout, right.headTimeout),
+        std::max(left.idleTimeout, right.idleTimeout) };
+}
+
 const PoolTraits* Declaration::pool(const PoolId& id) const
 {
     const auto found = std::find_if(
--- a/libs/http1/include/http1/Http1.h
+++ b/libs/http1/include/http1/Http1.h
@@ -129,6 +129,8 @@
      * @throws MessageRejected when the request is malformed or too large.
      */
     size_t feed(std::string_view bytes, std::vector<RequestEvent>& events);
+    /** Sets the limits for what is fed from now on, the rest of a begun request included. */
+    void setLimits(const MessageLimits& limits) noexcept;
     /** @return whether no byte of a next request has been received. */
     bool isBetweenMessages() const noexcept;
     /** @return bytes of an unfinished head that the parser holds. */
--- a/libs/http1/src/RequestParser.cpp
+++ b/libs/http1/src/RequestParser.cpp
@@ -55,7 +55,9 @@
     {
         // http_parser states the size of the chunk that follows as the content length.
         State& state = of(parser);
-        if (parser->content_length > state.limits.bodyBytes - state.bodyBytes)
+        // The limit may have been lowered within the body.
+        const size_t used = std::min(state.bodyBytes, state.limits.bodyBytes);
+        if (parser->content_length > state.limits.bodyBytes - used)
             state.isBodyTooLarge = true;
         return state.isBodyTooLarge ? -1 : 0;
     }
@@ -153,6 +155,8 @@
     return used;
 }
 
+void RequestParser::setLimits(const MessageLimits& limits) noexcept { m_state->limits = limits; }
+
 size_t RequestParser::heldBytes() const noexcept { return m_state->head.capacity(); }
 
 bool RequestParser::isBetweenMessages() const noexcept
--- a/libs/http1/tests/Http1Tests.cpp
+++ b/libs/http1/tests/Http1Tests.cpp
@@ -59,6 +59,29 @@
 }
 
 // Guards against trailers that pile up.
+// Guards against a parser that goes by limits which have changed since its connection began.
+Test(requests, are_held_to_the_limits_that_were_set_last)
+{
+    const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto isAccepted = [&head](size_t limitWithinBody, std::string_view rest) {
+        RequestParser parser(MessageLimits { 256, 64 });
+        std::vector<RequestEvent> events;
+        parser.feed(head + "20\r\n" + std::string(32, 'x') + "\r\n", events);
+        parser.setLimits({ 256, limitWithinBody });
+        try {
+            parser.feed(rest, events);
+        } catch (const MessageRejected& rejected) {
+            cr_assert(rejected.fault() == ParseFault::BodyTooLarge);
+            return false;
+        }
+        return true;
+    };
+    cr_expect(isAccepted(128, "60\r\n"));
+    cr_expect_not(isAccepted(128, "61\r\n"));
+    cr_expect_not(isAccepted(16, "1\r\n"));
+    cr_expect(isAccepted(16, "0\r\n\r\n"));
+}
+
 Test(requests, trailers_are_dropped)
 {
     RequestParser parser(MessageLimits {});
