Responses that HTTP/1 does not have are rejected

Cause: http_parser accepts any three digits and reads any announced body; ResponseParser took all statuses below 200 for interim ones. Change: statuses outside 100 to 599, 101, interim responses and 204 that announce a body, and major versions other than 1 are malformed; a 304 has no body whatever length it states. Interim responses without a body, unknown statuses from 200 to 599 and HTTP/1.0 are as before.

--- a/apps/gateway/tests/BrokenResponseTests.cpp
+++ b/apps/gateway/tests/BrokenResponseTests.cpp
@@ -154,6 +154,55 @@
     cr_assert(response.isComplete && response.body == "body");
 }
 
+// Guards against bytes that callers get as an answer although they are none: a status that HTTP
+// does not have, or the body of an interim response, joined with the response that follows.
+Test(responses, that_http_does_not_have_reach_no_caller)
+{
+    struct Case {
+        std::string_view statusLine;
+        std::string_view fields;
+        std::string_view body;
+        uint32_t expected = 0;
+    };
+    const std::vector<Case> cases {
+        { "HTTP/1.1 000 Odd", "Content-Length: 5", "wrong", 502 },
+        { "HTTP/1.1 099 Odd", "Content-Length: 5", "wrong", 502 },
+        { "HTTP/1.1 600 Odd", "Content-Length: 5", "wrong", 502 },
+        { "HTTP/1.1 999 Odd", "Content-Length: 5", "wrong", 502 },
+        { "HTTP/1.1 103 Early Hints", "Content-Length: 5", "wrong", 502 },
+        { "HTTP/1.1 101 Switching Protocols", "Upgrade: x\r\nConnection: upgrade", "", 502 },
+        { "HTTP/1.1 204 No Content", "Content-Length: 5", "wrong", 502 },
+        { "HTTP/1.1 103 Early Hints", "Link: x", "", 200 },
+        { "HTTP/1.1 499 Odd", "Content-Length: 5", "sound", 499 },
+        { "HTTP/1.1 599 Odd", "Content-Length: 5", "sound", 599 },
+        { "HTTP/1.0 200 OK", "Content-Length: 5", "sound", 200 },
+    };
+    for (const Case& item : cases) {
+        GatewayFixture fixture;
+        startOneTarget(
+            fixture, AtMostOnce, [&item](const FakeRequest& request, FakeConnection& connection) {
+                std::string text(item.statusLine);
+                text.append("\r\nX-Server-Stamp: stamp\r\nX-Attempt-Id: ")
+                    .append(request.field("X-Attempt-Id"))
+                    .append("\r\n")
+                    .append(item.fields)
+                    .append("\r\n\r\n")
+                    .append(item.body);
+                connection.send(text);
+                // To an interim response, this is the final one.
+                connection.send(headText(request, "Content-Length: 5") + "\r\nsound");
+            });
+        const SteadyTime start = steadyNow();
+        const CallerResponse response = sendRequest(fixture, requestText("POST", "/a/x", "a1"));
+        cr_expect_eq(
+            response.status, item.expected, "%s: %u", item.statusLine.data(), response.status);
+        cr_expect(response.body == (item.expected == 502 ? "" : "sound"), "%s: %s",
+            item.statusLine.data(), response.body.c_str());
+        cr_expect(steadyNow() - start < Milliseconds(AtMostOnce.timeoutMs / 2), "%s",
+            item.statusLine.data());
+    }
+}
+
 // Guards against the text of a failure, or a false end, in a stream that has begun.
 
 Test(resumed_streams, that_meet_a_failure_break_off)
--- a/libs/http1/include/http1/Http1.h
+++ b/libs/http1/include/http1/Http1.h
@@ -154,7 +154,9 @@
      * @param events receives the parsed parts, appended in order.
      * @return number of bytes consumed; the others follow the response and belong to no request
      * yet.
-     * @throws MessageRejected when the response is malformed.
+     * @throws MessageRejected when the response is malformed, or one that HTTP/1 does not have: its
+     *         status is not between 100 and 599, it switches protocols, or it announces a body
+     *         although a response of its status has none.
      */
     size_t feed(std::string_view bytes, std::vector<ResponseEvent>& events);
     /**
--- a/libs/http1/src/ResponseParser.cpp
+++ b/libs/http1/src/ResponseParser.cpp
@@ -4,15 +4,42 @@
 
 namespace {
 
+    constexpr unsigned short MajorVersion = 1;
+    constexpr uint32_t FirstStatus = 100;
+    constexpr uint32_t SwitchingProtocols = 101;
     constexpr uint32_t FirstFinalStatus = 200;
     constexpr uint32_t NoContent = 204;
     constexpr uint32_t NotModified = 304;
+    constexpr uint32_t LastStatus = 599;
+    /** Return values of http_parser's callback at the end of a head. */
+    constexpr int SkipBody = 1;
+    constexpr int Reject = -1;
 
     bool mayHaveBody(uint32_t status)
     {
         return status >= FirstFinalStatus && status != NoContent && status != NotModified;
     }
 
+    bool announcesBody(const http_parser& parser)
+    {
+        const bool hasLength = parser.content_length != std::numeric_limits<uint64_t>::max();
+        return (parser.flags & F_CHUNKED) != 0 || (hasLength && parser.content_length > 0);
+    }
+
+    /** @return whether HTTP/1 has a response with such a head (RFC 9110, 15; RFC 9112, 6.3). */
+    bool isResponse(const http_parser& parser)
+    {
+        const uint32_t status = parser.status_code;
+        if (parser.http_major != MajorVersion || status < FirstStatus || status > LastStatus)
+            return false;
+        // No request asks for another protocol.
+        if (status == SwitchingProtocols)
+            return false;
+        // What follows such a head would be taken for the next response. A 304 states the length of
+        // the body that it does not have.
+        return mayHaveBody(status) || status == NotModified || !announcesBody(parser);
+    }
+
 } // namespace
 
 struct ResponseParser::State {
@@ -43,6 +70,8 @@
         State& state = of(parser);
         MessageState& message = state.message;
         message.finishHeader();
+        if (!isResponse(*parser))
+            return Reject;
         state.isInterim = parser->status_code < FirstFinalStatus;
         if (state.isInterim)
             return 0;
@@ -53,6 +82,10 @@
         head.headers = std::move(message.headers);
         head.isPersistent = http_should_keep_alive(parser) != 0;
         const bool hasLength = parser->content_length != std::numeric_limits<uint64_t>::max();
+        if (head.status == NotModified) {
+            state.events->push_back(std::move(head));
+            return SkipBody;
+        }
         if ((parser->flags & F_CHUNKED) != 0) {
             head.framing = BodyFraming::Chunked;
         } else if (hasLength) {
--- a/libs/http1/tests/Http1Tests.cpp
+++ b/libs/http1/tests/Http1Tests.cpp
@@ -184,6 +184,56 @@
     cr_assert(isRejectedBytes);
 }
 
+// Guards against bytes that are taken for a response, or for a part of the next one, although HTTP
+// has no such message.
+Test(responses, that_http_does_not_have_are_rejected)
+{
+    const auto isAccepted = [](std::string_view bytes) {
+        ResponseParser parser;
+        std::vector<ResponseEvent> events;
+        try {
+            parser.feed(bytes, events);
+        } catch (const MessageRejected&) {
+            return false;
+        }
+        return true;
+    };
+    for (const std::string_view bytes : {
+             "HTTP/1.1 000 Odd\r\nContent-Length: 5\r\n\r\n",
+             "HTTP/1.1 099 Odd\r\n\r\n",
+             "HTTP/1.1 600 Odd\r\nContent-Length: 5\r\n\r\n",
+             "HTTP/1.1 999 Odd\r\n\r\n",
+             "HTTP/1.1 2000 Odd\r\n\r\n",
+             "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n",
+             "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n",
+             "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+             "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
+             "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+             "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\n",
+         })
+        cr_expect_not(isAccepted(bytes), "%s", bytes.data());
+    for (const std::string_view bytes : {
+             "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
+             "HTTP/1.1 199 Odd\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 499 Odd\r\nContent-Length: 2\r\n\r\nno",
+             "HTTP/1.1 599 Odd\r\nContent-Length: 2\r\n\r\nno",
+             "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+         })
+        cr_expect(isAccepted(bytes), "%s", bytes.data());
+}
+
+// Guards against a wait for the body of a response that has none, whatever length it states.
+Test(responses, not_modified_ones_have_no_body)
+{
+    ResponseParser parser;
+    std::vector<ResponseEvent> events;
+    const std::string_view head = "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n";
+    cr_assert_eq(parser.feed(head, events), head.size());
+    cr_assert(std::holds_alternative<MessageEnd>(events.back()));
+    cr_assert(std::get<ResponseHead>(events.front()).framing == BodyFraming::None);
+}
+
 Test(fields, specific_to_one_connection_are_removed)
 {
     Headers headers;
