Calls: each states the largest body of its response

Cause: channels::call() collected up to 8 MB for each call, in a string that doubles, and as many calls run as requests. Change: a call states the most that it collects: 64 KB for reports and orders, 4 KB for releases, 8 MB for inventories, the store and declarations, of which one or few run at a time. A report that is awaited counts with the memory of its request.

--- a/apps/gateway/CacheInventory.cpp
+++ b/apps/gateway/CacheInventory.cpp
@@ -10,6 +10,7 @@
 
     /** A busy engine responds late; its cached parts soon become known from its work anyway. */
     constexpr Milliseconds CallTimeout { 500 };
+    constexpr size_t MaxInventoryBytes = size_t { 8 } << 20;
     /** Each call delays an engine's work, so large fleets are queried only in part. */
     constexpr size_t MaxEngines = 48;
     constexpr uint32_t Ok = 200;
@@ -53,7 +54,8 @@
     }
     m_call = channels::call(m_context.loop, m_context.targetConnections,
         { engine.address, engine.id.text() },
-        adapter::composeCall(adapter::cacheInventoryCall(), engine.address), CallTimeout,
+        adapter::composeCall(adapter::cacheInventoryCall(), engine.address),
+        { CallTimeout, MaxInventoryBytes },
         [this, engine](const std::optional<channels::CallResponse>& response) {
             const std::shared_ptr<void> finished = std::exchange(m_call, nullptr);
             if (response)
--- a/apps/gateway/DeclarationExchange.cpp
+++ b/apps/gateway/DeclarationExchange.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr Milliseconds AskInterval { 500 };
+    constexpr size_t MaxDeclarationBytes = size_t { 8 } << 20;
     constexpr uint32_t Ok = 200;
     constexpr uint32_t NoContent = 204;
     /** Milliseconds since the store last responded to the gateway that sends the field. */
@@ -76,7 +77,7 @@
     call.target = std::string(Path).append("?after=").append(std::to_string(revision().value()));
     const SteadyTime sentAt = steadyNow();
     m_call = channels::call(m_context.loop, m_context.targetConnections, { gateway, {} },
-        adapter::composeCall(call, gateway), AskInterval,
+        adapter::composeCall(call, gateway), { AskInterval, MaxDeclarationBytes },
         [this, gateway, sentAt](const std::optional<channels::CallResponse>& response) {
             const std::shared_ptr<void> finished = std::exchange(m_call, nullptr);
             onResponse(gateway, sentAt, response);
--- a/apps/gateway/DutyRunnerUsage.cpp
+++ b/apps/gateway/DutyRunnerUsage.cpp
@@ -22,6 +22,7 @@
     /** Connecting, and the time for which the kernel sends lost packets again. */
     constexpr Milliseconds PostDeliveryTime { 900 };
     constexpr Milliseconds RetryInterval { 300 };
+    constexpr size_t MaxResponseBytes = size_t { 64 } << 10;
     /** Several records share a lease, since each call is billed. */
     constexpr Milliseconds RecordLeaseUse { 60000 };
     /** Records written last under a lease live for longer than a window may be reported. */
@@ -220,7 +221,7 @@
     m_lease.noteCall(now());
     m_schedule.notePostSent(now());
     m_post = channels::call(m_context.loop, m_apiConnections, { m_api, {} },
-        adapter::composeCall(call, m_api), PostTimeout,
+        adapter::composeCall(call, m_api), { PostTimeout, MaxResponseBytes },
         [this, window](const std::optional<channels::CallResponse>& response) {
             const std::shared_ptr<void> finished = std::exchange(m_post, nullptr);
             onPosted(window, response);
--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -132,6 +132,8 @@
     };
 
     using TargetStates = std::vector<dispatch::TargetState*>;
+    /** An engine's report lists its runs. */
+    static constexpr size_t MaxReportBytes = size_t { 64 } << 10;
 
     /** @return false when the request was refused. */
     bool findRoute();
--- a/apps/gateway/RequestHandlerOutcomes.cpp
+++ b/apps/gateway/RequestHandlerOutcomes.cpp
@@ -221,6 +221,7 @@
         return;
     const fleet::TargetRecord prefillEngine = m_prefilledPrompt->prefillEngine;
     constexpr Milliseconds ReleaseTimeout { 1000 };
+    constexpr size_t MaxReleaseResponseBytes = 4096;
     if (m_context.isPaused(prefillEngine, steadyNow())) {
         telemetry::logInfo("request", "Released no KV cache: the engine has requested a pause.",
             { { "id", m_callerInfo.attempt.text() }, { "target", prefillEngine.id.text() } });
@@ -236,7 +237,7 @@
         { prefillEngine.address, prefillEngine.id.text() },
         adapter::composeCall(
             adapter::releaseHandleCall(m_prefilledPrompt->handle), prefillEngine.address),
-        ReleaseTimeout,
+        { ReleaseTimeout, MaxReleaseResponseBytes },
         [own, prefillEngine, &context = m_context](
             const std::optional<channels::CallResponse>& response) {
             if (response)
@@ -254,9 +255,13 @@
 {
     if (!m_request.held)
         return true;
-    size_t bytes = m_request.memoryBytes() + m_attempt->body->memoryBytes();
+    size_t bytes = m_request.memoryBytes();
+    if (m_attempt)
+        bytes += m_attempt->body->memoryBytes();
     if (m_targetFailure)
         bytes += m_targetFailure->body->memoryBytes();
+    if (m_reportCall)
+        bytes += MaxReportBytes;
     return m_request.held->resize(bytes, steadyNow());
 }
 
--- a/apps/gateway/RequestHandlerVersions.cpp
+++ b/apps/gateway/RequestHandlerVersions.cpp
@@ -97,7 +97,8 @@
     const std::weak_ptr<RequestHandler> weak = weak_from_this();
     m_reportCall = channels::call(m_context.loop, m_context.targetConnections,
         { target.address, target.id.text() },
-        adapter::composeCall(adapter::reportCall(), target.address), ReportTimeout,
+        adapter::composeCall(adapter::reportCall(), target.address),
+        { ReportTimeout, MaxReportBytes },
         [weak, incarnation, target](const std::optional<channels::CallResponse>& response) {
             const std::shared_ptr<RequestHandler> self = weak.lock();
             if (!self || self->m_isOver)
@@ -109,6 +110,7 @@
                     self->m_callerInfo.attempt);
             self->onReport(incarnation, response);
         });
+    countHeld();
     return true;
 }
 
--- a/apps/sidecar/RoleReconciler.cpp
+++ b/apps/sidecar/RoleReconciler.cpp
@@ -10,6 +10,8 @@
 
     /** The engine is on this VM and responds within milliseconds. */
     constexpr Milliseconds EngineTimeout { 400 };
+    /** A report lists the engine's runs. */
+    constexpr size_t MaxResponseBytes = size_t { 64 } << 10;
     constexpr Milliseconds ProgressInterval { 200 };
     /** How long an engine may take to carry out an order that it did not respond to. */
     constexpr Milliseconds UnansweredOrderLifetime { 15000 };
@@ -253,7 +255,7 @@
 void RoleReconciler::callEngine(const adapter::Call& call, channels::CallHandler handler)
 {
     m_call = channels::call(m_loop, m_pool, { m_engine, {} }, adapter::composeCall(call, m_engine),
-        EngineTimeout,
+        { EngineTimeout, MaxResponseBytes },
         [this, handler = std::move(handler)](
             const std::optional<channels::CallResponse>& response) {
             const std::shared_ptr<void> finished = std::exchange(m_call, nullptr);
--- a/libs/channels/include/channels/Channels.h
+++ b/libs/channels/include/channels/Channels.h
@@ -239,15 +239,21 @@
 /** Receives the response of a call, or none when the call failed. */
 using CallHandler = std::function<void(std::optional<CallResponse>)>;
 
+/** Limits on a call. */
+struct CallLimits {
+    /** Until the response is complete. */
+    Milliseconds time { 0 };
+    /** Largest body of the response; as much memory is taken at most. */
+    size_t bodyBytes = 0;
+};
+
 /**
  * Sends a request and collects the whole response; does not block.
- * @param limit longest time, in milliseconds, until the response is complete.
- * @param handler called once; receives none when no complete response came within the limit, or
- *        one of more than 8 MB.
+ * @param handler called once; receives none when no complete response came within the limits.
  * @return owner of the call; destroying it cancels the call, and the handler is not called.
  */
 std::shared_ptr<void> call(EventLoop& loop, ConnectionPool& pool, const PeerKey& peer,
-    std::string request, Milliseconds limit, CallHandler handler);
+    std::string request, const CallLimits& limits, CallHandler handler);
 
 /**
  * UDP socket. Datagrams may be lost, duplicated or delayed; of a received datagram only the first
--- a/libs/channels/src/Call.cpp
+++ b/libs/channels/src/Call.cpp
@@ -1,5 +1,9 @@
 #include "channels/Channels.h"
 
+#include "telemetry/Telemetry.h"
+
+#include <algorithm>
+
 namespace citronspoke::channels {
 
 namespace {
@@ -19,22 +23,34 @@
             finished(std::move(result));
         }
 
+        /** @return false when the body is too large. */
+        bool append(std::string_view bytes)
+        {
+            std::string& body = response.body;
+            const size_t size = body.size() + bytes.size();
+            if (size > maxBodyBytes)
+                return false;
+            if (size > body.capacity())
+                body.reserve(std::min(maxBodyBytes, std::max(size, 2 * body.capacity())));
+            body.append(bytes);
+            return true;
+        }
+
         Timer timer;
+        size_t maxBodyBytes = 0;
         CallHandler handler;
         CallResponse response;
         ExchangePointer exchange;
     };
 
-    /** A page of the store has about 1 MB. */
-    constexpr size_t MaxBodyBytes = size_t { 8 } << 20;
-
 } // namespace
 
 std::shared_ptr<void> call(EventLoop& loop, ConnectionPool& pool, const PeerKey& peer,
-    std::string request, Milliseconds limit, CallHandler handler)
+    std::string request, const CallLimits& limits, CallHandler handler)
 {
     const std::shared_ptr<PendingCall> pending = std::make_shared<PendingCall>(loop);
     pending->handler = std::move(handler);
+    pending->maxBodyBytes = limits.bodyBytes;
     const std::weak_ptr<PendingCall> weak = pending;
     Exchange::Handlers handlers;
     handlers.onHead = [weak](const http1::ResponseHead& head) {
@@ -47,11 +63,13 @@
         const std::shared_ptr<PendingCall> self = weak.lock();
         if (!self)
             return;
-        self->response.body.append(bytes);
-        if (self->response.body.size() > MaxBodyBytes) {
-            self->exchange->cancel();
-            self->finish(std::nullopt);
-        }
+        if (self->append(bytes))
+            return;
+        telemetry::logWarning("calls", "Broke off a response that is too long.",
+            { { "limit", std::to_string(self->maxBodyBytes) } });
+        telemetry::count("oversized_call_responses");
+        self->exchange->cancel();
+        self->finish(std::nullopt);
     };
     handlers.onEnd = [weak](ExchangeEnd end) {
         const std::shared_ptr<PendingCall> self = weak.lock();
@@ -65,7 +83,7 @@
     constexpr Milliseconds AnyIdleAge = Milliseconds::max() / 1000000;
     pending->exchange
         = pool.start(peer, std::move(request), nullptr, AnyIdleAge, std::move(handlers));
-    pending->timer.arm(limit, [weak] {
+    pending->timer.arm(limits.time, [weak] {
         const std::shared_ptr<PendingCall> self = weak.lock();
         if (!self)
             return;
--- a/libs/storefeed/src/StoreClient.cpp
+++ b/libs/storefeed/src/StoreClient.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr Milliseconds ConnectTimeout { 500 };
+    /** A page of items has about 1 MB. */
+    constexpr size_t MaxResponseBytes = size_t { 8 } << 20;
 
     channels::ConnectionPool::Options poolOptions()
     {
@@ -47,7 +49,7 @@
     const std::shared_ptr<PendingCall> pending = std::make_shared<PendingCall>();
     pending->handler = std::move(handler);
     pending->exchange = channels::call(m_loop, m_pool, { m_store, {} },
-        adapter::composeCall(call, m_store), timeout,
+        adapter::composeCall(call, m_store), { timeout, MaxResponseBytes },
         [this, call = std::weak_ptr<PendingCall>(pending)](
             const std::optional<channels::CallResponse>& response) { onResponse(call, response); });
     return { pending.get(), [pending](PendingCall*) { pending->isCancelled = true; } };
--- a/tests/crowds/CrowdFleet.cpp
+++ b/tests/crowds/CrowdFleet.cpp
@@ -1,7 +1,5 @@
 #include "CrowdFleet.h"
 
-#include "FakeDocuments.h"
-
 #include <criterion/criterion.h>
 #include <thread>
 
@@ -13,9 +11,11 @@
 
     std::string quoted(const fleet::Address& address) { return "\"" + address.text() + "\"\n"; }
 
-    std::string declarationText()
+    std::string declarationText(const ScriptedStreams& streams)
     {
-        const nlohmann::json routes { fakes::routeDocument("/a/", { "idempotent", "app", 30000 }) };
+        nlohmann::json routes { fakes::routeDocument("/a/", { "idempotent", "app", 30000 }) };
+        if (streams.serve)
+            routes.push_back(fakes::routeDocument("/s/", streams.route));
         nlohmann::json document = nlohmann::json::parse(fakes::declarationText(1, routes));
         document["limits"] = { { "maxHeaderBytes", MaxHeadBytes }, { "maxBodyBytes", MaxBodyBytes },
             { "headerTimeoutMs", RequestReadLimit.count() },
@@ -39,20 +39,41 @@
 CrowdFleet::CrowdFleet(std::string answer, Milliseconds workTime)
     : m_answer(std::move(answer))
     , m_workTime(workTime)
-    , m_callers { "127.0.0.1", m_ports.pick() }
-    , m_readiness { "127.0.0.1", m_ports.pick() }
-    , m_operators { "127.0.0.1", m_ports.pick() }
 {
-    constexpr size_t TargetCount = 2;
-    m_store.put("op/config", declarationText());
-    for (size_t index = 0; index < TargetCount; ++index) {
-        m_targets.push_back(std::make_unique<fakes::FakeHttpServer>(
-            [this](const fakes::FakeRequest& request, fakes::FakeConnection& connection) {
-                answerRequest(request, connection);
-            }));
-        m_store.put("servers/app-" + std::to_string(index),
-            fakes::entryText({ "app", m_targets.back()->address().text() }));
+    start();
+}
+
+CrowdFleet::CrowdFleet(ScriptedStreams streams)
+    : m_streams(std::move(streams))
+    , m_answer("ok")
+    , m_workTime(0)
+{
+    if (m_streams.route.service == "llm") {
+        addTarget("reader", { "llm", "", "prefill", "ready", "", 1000 });
+        addTarget("maker-1", { "llm", "", "decode", "ready", "", 1000 });
+        addTarget("maker-2", { "llm", "", "decode", "ready", "", 1000 });
     }
+    start();
+}
+
+void CrowdFleet::addTarget(const std::string& id, fakes::EntryOptions options)
+{
+    m_targets.push_back(std::make_unique<fakes::FakeHttpServer>(
+        [this](const fakes::FakeRequest& request, fakes::FakeConnection& connection) {
+            answerRequest(request, connection);
+        }));
+    options.address = m_targets.back()->address().text();
+    m_store.put("servers/" + id, fakes::entryText(options));
+}
+
+void CrowdFleet::start()
+{
+    m_callers = { "127.0.0.1", m_ports.pick() };
+    m_readiness = { "127.0.0.1", m_ports.pick() };
+    m_operators = { "127.0.0.1", m_ports.pick() };
+    m_store.put("op/config", declarationText(m_streams));
+    for (const char* id : { "app-0", "app-1" })
+        addTarget(id, { "app", "", "", "ready", "", 1000 });
     const std::string settings = "id = \"gateway-1\"\nzone = \"zone-a\"\ncallers = "
         + quoted(m_callers) + "readiness = " + quoted(m_readiness)
         + "operator = " + quoted(m_operators) + "store = " + quoted(m_store.address())
@@ -83,6 +104,10 @@
 
 void CrowdFleet::answerRequest(const fakes::FakeRequest& request, fakes::FakeConnection& connection)
 {
+    if (m_streams.serve && !request.head.target.starts_with("/a/")) {
+        m_streams.serve(request, connection);
+        return;
+    }
     m_runs += 1;
     std::this_thread::sleep_for(m_workTime);
     http1::Headers headers;
@@ -91,10 +116,10 @@
     connection.answer(200, headers, m_answer);
 }
 
-std::string requestHead(std::string_view method, std::string_view extraLines)
+std::string requestHead(std::string_view method, std::string_view extraLines, std::string_view path)
 {
     std::string head(method);
-    head.append(" /a/x HTTP/1.1\r\nHost: ").append(fakes::RouteHost);
+    head.append(" ").append(path).append(" HTTP/1.1\r\nHost: ").append(fakes::RouteHost);
     head.append("\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 20000\r\n").append(extraLines);
     return head.append("\r\n");
 }
--- /dev/null
+++ b/tests/crowds/EngineCrowdTests.cpp
@@ -0,0 +1,97 @@
+// Crowds of callers whose targets send bytes that are no answer, without end. Each test runs alone:
+// a gateway with small limits must live and stay within them, and serve an ordinary request
+// meanwhile.
+#include "CrowdFleet.h"
+
+#include <criterion/criterion.h>
+#include <thread>
+
+using namespace citronspoke;
+using namespace citronspoke::crowds;
+using fakes::FakeConnection;
+using fakes::FakeRequest;
+
+namespace {
+
+constexpr size_t CrowdSize = 60;
+constexpr size_t PieceBytes = 16000;
+constexpr int TimeLimitMs = 20000;
+
+const fakes::RouteOptions ResumableStreams { "streaming", "app", TimeLimitMs, 2, true };
+const fakes::RouteOptions Prompts { "streaming", "llm", TimeLimitMs, 2, true, true };
+
+std::string signedHead(const FakeRequest& request, std::string_view lastFields)
+{
+    std::string text = "HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\nX-Attempt-Id: ";
+    return text.append(request.field("X-Attempt-Id")).append("\r\n").append(lastFields);
+}
+
+/** Sends the piece over and over. */
+void sendEndlessly(FakeConnection& connection, std::string_view piece)
+{
+    while (connection.isOpen())
+        connection.send(piece);
+    connection.waitForClose();
+}
+
+/**
+ * Asks for streams on all connections of a crowd.
+ * @param extraLines of each request; they end with CRLF.
+ */
+void expectBorne(ScriptedStreams streams, std::string_view extraLines = {})
+{
+    /** Until all targets have sent what the gateway takes in. */
+    constexpr Milliseconds SendingTime { 2000 };
+    CrowdFleet fleet(std::move(streams));
+    Crowd crowd(fleet.callers(), CrowdSize);
+    const std::string request
+        = requestHead("POST", std::string(extraLines) + "Content-Length: 0\r\n", "/s/x");
+    crowd.send(request, request.size(), [&fleet] { fleet.gateway().sampleDescriptors(); });
+    std::this_thread::sleep_for(SendingTime);
+    fleet.expectSound(crowd.receive());
+}
+
+} // namespace
+
+// Guards against responses to a gateway's own calls: here, whether a target has restarted.
+Test(engine_crowds, reports_without_end)
+{
+    expectBorne({ ResumableStreams,
+                    [](const FakeRequest& request, FakeConnection& connection) {
+                        connection.send(signedHead(request, "\r\n"));
+                        sendEndlessly(connection, std::string(PieceBytes, ' '));
+                    } },
+        "Last-Event-Id: 2\r\nResumes: earlier\r\n");
+}
+
+// Guards against the same: here, the release of a prompt whose decode engine broke off.
+Test(engine_crowds, responses_to_releases_without_end)
+{
+    expectBorne({ Prompts,
+                    [](const FakeRequest& request, FakeConnection& connection) {
+                        if (request.head.method == "DELETE") {
+                            connection.send("HTTP/1.1 200 OK\r\n\r\n");
+                            sendEndlessly(connection, std::string(PieceBytes, ' '));
+                        } else if (!request.field("X-Kv-Source").empty()) {
+                            connection.reset();
+                        } else {
+                            http1::Headers headers;
+                            headers.add("X-Attempt-Id", request.field("X-Attempt-Id"));
+                            connection.answer(
+                                200, headers, R"({"kvHandle":"h1","tokens":1460,"version":1})");
+                        }
+                    } },
+        "X-Model: m\r\nX-Token-Counts: 1460,80\r\nX-Prefix-Hash: 5c1e:800,91bd:660\r\n");
+}
+
+// Guards against prompts whose prefill never ends, and against a body that is held until it is
+// whole.
+Test(engine_crowds, prefill_responses_without_end)
+{
+    expectBorne({ Prompts,
+                    [](const FakeRequest& request, FakeConnection& connection) {
+                        connection.send(signedHead(request, "\r\n"));
+                        sendEndlessly(connection, std::string(PieceBytes, ' '));
+                    } },
+        "X-Model: m\r\nX-Token-Counts: 1460,80\r\nX-Prefix-Hash: 5c1e:800,91bd:660\r\n");
+}
