Responses: heads have 16 KB and 128 fields at most

Cause: http_parser ends a head after 80 KB, but a field takes at least 64 bytes in memory, so a head of short fields took above 1 MB. Change: ResponseParser rejects heads of more than 16 KB or 128 fields.

--- a/libs/http1/include/http1/Http1.h
+++ b/libs/http1/include/http1/Http1.h
@@ -79,6 +79,9 @@
     /** Size of the body in bytes when the framing is Length. */
     uint64_t length = 0;
     bool isPersistent = true;
+
+    /** @return bytes that the head takes in memory. */
+    size_t memoryBytes() const noexcept;
 };
 
 /** Part of a body, as it was received. A parser merges the parts that one call to it yields. */
@@ -156,7 +159,8 @@
      * yet.
      * @throws MessageRejected when the response is malformed, or one that HTTP/1 does not have: its
      *         status is not between 100 and 599, it switches protocols, or it announces a body
-     *         although a response of its status has none.
+     *         although a response of its status has none. Also when its head has more than 16 KB,
+     *         or more than 128 fields.
      */
     size_t feed(std::string_view bytes, std::vector<ResponseEvent>& events);
     /**
@@ -200,6 +204,10 @@
     std::vector<StreamEvent> feed(std::string_view bytes);
     /** @return size of the event that has been received in part. */
     size_t pendingBytes() const noexcept { return m_pending.size(); }
+    /** @return bytes that the event that has been received in part takes in memory. */
+    size_t memoryBytes() const noexcept;
+    /** Drops the event that has been received in part. */
+    void clear() noexcept { m_pending = std::string(); }
     /** @return whether an event has been received in part. */
     bool hasPartialEvent() const noexcept { return !m_pending.empty(); }
 
--- a/libs/http1/src/EventSplitter.cpp
+++ b/libs/http1/src/EventSplitter.cpp
@@ -9,6 +9,7 @@
 
     constexpr std::string_view EventEnd = "\n\n";
     constexpr std::string_view IdField = "id:";
+    constexpr size_t LargePendingBytes = 4096;
 
     std::optional<uint64_t> idOf(std::string_view event)
     {
@@ -49,7 +50,15 @@
         start = next;
     }
     m_pending.erase(0, start);
+    // A large event must not leave its memory to the small ones that follow.
+    if (!events.empty() && m_pending.capacity() > LargePendingBytes)
+        m_pending.shrink_to_fit();
     return events;
 }
 
+size_t EventSplitter::memoryBytes() const noexcept
+{
+    return m_pending.empty() ? 0 : m_pending.capacity();
+}
+
 } // namespace citronspoke::http1
--- a/libs/http1/src/Headers.cpp
+++ b/libs/http1/src/Headers.cpp
@@ -74,6 +74,11 @@
     return heapBytes(method) + heapBytes(target) + headers.memoryBytes();
 }
 
+size_t ResponseHead::memoryBytes() const noexcept
+{
+    return heapBytes(reason) + headers.memoryBytes();
+}
+
 bool equalsIgnoringCase(std::string_view left, std::string_view right) noexcept
 {
     return left.size() == right.size()
--- a/libs/http1/src/MessageState.cpp
+++ b/libs/http1/src/MessageState.cpp
@@ -32,7 +32,7 @@
         if (state.isInValue)
             state.finishHeader();
         state.name.append(bytes, size);
-        return 0;
+        return state.headers.entries().size() < state.maxFields ? 0 : -1;
     }
 
     int onHeaderValue(http_parser* parser, const char* bytes, size_t size)
--- a/libs/http1/src/MessageState.h
+++ b/libs/http1/src/MessageState.h
@@ -3,6 +3,7 @@
 #include "http1/Http1.h"
 
 #include <http_parser.h>
+#include <limits>
 
 namespace citronspoke::http1 {
 
@@ -20,6 +21,8 @@
     bool isInValue = false;
     bool isHeadComplete = false;
     bool isComplete = false;
+    /** Header fields above this number are malformed. */
+    size_t maxFields = std::numeric_limits<size_t>::max();
 
     /** Prepares for the next message. */
     void resetFor(http_parser_type type);
--- a/libs/http1/src/ResponseParser.cpp
+++ b/libs/http1/src/ResponseParser.cpp
@@ -4,6 +4,10 @@
 
 namespace {
 
+    /** Largest head of a response. A field takes at least 64 bytes in memory, so that their number
+     * is limited too. */
+    constexpr size_t MaxHeadBytes = 16384;
+    constexpr size_t MaxFields = 128;
     constexpr unsigned short MajorVersion = 1;
     constexpr uint32_t FirstStatus = 100;
     constexpr uint32_t SwitchingProtocols = 101;
@@ -46,6 +50,7 @@
     State()
     {
         message.owner = this;
+        message.maxFields = MaxFields;
         message.resetFor(HTTP_RESPONSE);
         settings = baseSettings();
         settings.on_message_begin = onMessageBegin;
@@ -118,11 +123,36 @@
     void reset()
     {
         message.resetFor(HTTP_RESPONSE);
+        headBytes = 0;
         hasBegun = isInterim = endsWithConnection = false;
     }
 
+    /** @return the part of the bytes that may be parsed at once. */
+    std::string_view nextPart(std::string_view bytes) const
+    {
+        return message.isHeadComplete ? bytes : bytes.substr(0, MaxHeadBytes - headBytes);
+    }
+
+    size_t execute(std::string_view bytes)
+    {
+        const bool wasInHead = !message.isHeadComplete;
+        const size_t used
+            = http_parser_execute(&message.parser, &settings, bytes.data(), bytes.size());
+        const http_errno fault = HTTP_PARSER_ERRNO(&message.parser);
+        if (fault != HPE_OK && fault != HPE_PAUSED)
+            throw MessageRejected(ParseFault::Malformed);
+        if (wasInHead && !message.isHeadComplete && !message.isComplete) {
+            headBytes += used;
+            if (headBytes >= MaxHeadBytes)
+                throw MessageRejected(ParseFault::HeadTooLarge);
+        }
+        return used;
+    }
+
     MessageState message;
     http_parser_settings settings {};
+    /** Of a head that has been received in part. */
+    size_t headBytes = 0;
     bool hasBegun = false;
     bool isInterim = false;
     bool endsWithConnection = false;
@@ -142,11 +172,7 @@
     state.events = &events;
     size_t used = 0;
     while (used < bytes.size()) {
-        used += http_parser_execute(
-            &state.message.parser, &state.settings, bytes.data() + used, bytes.size() - used);
-        const http_errno fault = HTTP_PARSER_ERRNO(&state.message.parser);
-        if (fault != HPE_OK && fault != HPE_PAUSED)
-            throw MessageRejected(ParseFault::Malformed);
+        used += state.execute(state.nextPart(bytes.substr(used)));
         if (!state.message.isComplete)
             continue;
         const bool wasInterim = state.isInterim;
--- a/libs/http1/tests/Http1Tests.cpp
+++ b/libs/http1/tests/Http1Tests.cpp
@@ -223,6 +223,45 @@
         cr_expect(isAccepted(bytes), "%s", bytes.data());
 }
 
+// Guards against heads without end, and against many short fields, which take several times their
+// size in memory.
+Test(responses, with_a_large_head_are_rejected)
+{
+    constexpr size_t MaxBytes = 16384;
+    constexpr int MaxFields = 128;
+    const auto isAccepted = [](std::string_view head, size_t pieceBytes) {
+        ResponseParser parser;
+        std::vector<ResponseEvent> events;
+        try {
+            for (; !head.empty(); head.remove_prefix(std::min(pieceBytes, head.size())))
+                parser.feed(head.substr(0, pieceBytes), events);
+        } catch (const MessageRejected&) {
+            return false;
+        }
+        return true;
+    };
+    const auto withFields = [](int count) {
+        std::string head = "HTTP/1.1 200 OK\r\n";
+        for (int field = 0; field < count; ++field)
+            head += "a:b\r\n";
+        return head + "\r\n";
+    };
+    const auto withBytes = [](size_t bytes) {
+        std::string head = "HTTP/1.1 200 OK\r\na: ";
+        return head.append(bytes - head.size() - 4, 'x') + "\r\n\r\n";
+    };
+    for (const size_t pieceBytes : { size_t { 1 }, size_t { 1000 }, MaxBytes }) {
+        cr_expect(isAccepted(withFields(MaxFields), pieceBytes));
+        cr_expect_not(isAccepted(withFields(MaxFields + 1), pieceBytes));
+        cr_expect(isAccepted(withBytes(MaxBytes), pieceBytes));
+        cr_expect_not(isAccepted(withBytes(MaxBytes + 1), pieceBytes));
+    }
+    std::string interim;
+    for (int count = 0; count < 2000; ++count)
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    cr_expect(isAccepted(interim, 1000), "Interim responses count one by one.");
+}
+
 // Guards against a wait for the body of a response that has none, whatever length it states.
 Test(responses, not_modified_ones_have_no_body)
 {
@@ -255,6 +294,17 @@
     cr_assert(splitter.hasPartialEvent());
 }
 
+// Guards against a stream whose small events keep the memory of a large one that came before.
+Test(events, that_are_small_take_little_memory_after_a_large_one)
+{
+    constexpr size_t Large = size_t { 1 } << 20;
+    EventSplitter splitter;
+    splitter.feed("id: 1\ndata: " + std::string(Large, 'x'));
+    cr_assert_geq(splitter.memoryBytes(), Large);
+    cr_assert_eq(splitter.feed("\n\nid: 2").size(), 1U);
+    cr_assert_lt(splitter.memoryBytes(), 100U);
+}
+
 // Guards against bodies that take a multiple of their size while they grow.
 Test(bodies, take_little_more_memory_than_their_size)
 {
--- a/tests/crowds/EngineCrowdTests.cpp
+++ b/tests/crowds/EngineCrowdTests.cpp
@@ -17,6 +17,7 @@
 constexpr size_t PieceBytes = 16000;
 constexpr int TimeLimitMs = 20000;
 
+const fakes::RouteOptions Streams { "streaming", "app", TimeLimitMs };
 const fakes::RouteOptions ResumableStreams { "streaming", "app", TimeLimitMs, 2, true };
 const fakes::RouteOptions Prompts { "streaming", "llm", TimeLimitMs, 2, true, true };
 
@@ -26,14 +27,22 @@
     return text.append(request.field("X-Attempt-Id")).append("\r\n").append(lastFields);
 }
 
-/** Sends the piece over and over. */
-void sendEndlessly(FakeConnection& connection, std::string_view piece)
+/** Sends the piece over and over. @param most bytes after which nothing more is sent. */
+void sendEndlessly(FakeConnection& connection, std::string_view piece, size_t most = SIZE_MAX)
 {
-    while (connection.isOpen())
+    for (size_t sent = 0; connection.isOpen() && sent < most; sent += piece.size())
         connection.send(piece);
     connection.waitForClose();
 }
 
+std::string pieceOf(std::string_view repeated)
+{
+    std::string piece;
+    while (piece.size() < PieceBytes)
+        piece += repeated;
+    return piece;
+}
+
 /**
  * Asks for streams on all connections of a crowd.
  * @param extraLines of each request; they end with CRLF.
@@ -53,6 +62,25 @@
 
 } // namespace
 
+// Guards against heads of many short fields, which take many times their size once they are parsed.
+Test(engine_crowds, heads_of_short_fields_without_end)
+{
+    expectBorne({ Streams, [](const FakeRequest& request, FakeConnection& connection) {
+                     connection.send(signedHead(request, ""));
+                     sendEndlessly(connection, pieceOf("a:\r\n"));
+                 } });
+}
+
+// Guards against the same where the target does not go on to the limit on a head.
+Test(engine_crowds, heads_of_short_fields_that_are_never_finished)
+{
+    constexpr size_t Sent = size_t { 64 } << 10;
+    expectBorne({ Streams, [](const FakeRequest& request, FakeConnection& connection) {
+                     connection.send(signedHead(request, ""));
+                     sendEndlessly(connection, pieceOf("a:\r\n"), Sent);
+                 } });
+}
+
 // Guards against responses to a gateway's own calls: here, whether a target has restarted.
 Test(engine_crowds, reports_without_end)
 {
