Streams: unfinished events count with the memory of requests

Cause: EventSplitter held up to 1 MB a stream, which nobody counted. Change: an unfinished event of more than 4 KB is counted (HeldMemory::Kind::Event). When memory is short, a large one gives way itself before requests do; among small ones and requests that are being received, the one whose size times age is greatest. The attempt is broken off, and the stream goes on at another target where it may. The time counts from the last complete event, so that streams which make progress stay.

--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -99,12 +99,16 @@
         /** The response as far as it is held until it is whole. */
         std::shared_ptr<http1::Body> body = std::make_shared<http1::Body>();
         http1::EventSplitter splitter;
+        /** Of an event that has been received in part; null for small ones. */
+        std::unique_ptr<capacity::HeldMemory> heldEvent;
         /** Complete events that the target has sent. */
         uint64_t events = 0;
         /** The target has sent an event with an id, or the whole response. */
         bool hasAnswerBegun = false;
         /** Its body is streamed to the caller as it arrives. */
         bool isRelayed = false;
+        /** An unfinished event was dropped, so what follows is no event. */
+        bool isCutShort = false;
         /** The target was not read for a time because the caller reads too slowly; targets cut off
          * responses that nobody reads. */
         bool wasPaused = false;
@@ -239,12 +243,18 @@
     void onHead(const http1::ResponseHead& head);
     void onBody(std::string_view bytes);
     void relayEvents(std::string_view bytes);
+    /** Counts the memory of an event that has been received in part.
+     * @return whether there is enough. */
+    bool countEvent(bool hasProgressed);
+    /** The memory of the unfinished event is needed. */
+    void dropEvent();
     /** Counts the memory of the request and of the responses that are held for it.
      * @return whether the response should be read on. */
     bool countHeld();
     /** There is memory again for a response that is held until it is whole. */
     void continueHolding();
-    /** Breaks the attempt off because its target sends more than any response has. */
+    /** Breaks the attempt off because its target sends more than any response has, or more than
+     * there is memory for. */
     void endOversizedAttempt();
     void onEnd(channels::ExchangeEnd end);
 
--- a/apps/gateway/RequestHandlerOutcomes.cpp
+++ b/apps/gateway/RequestHandlerOutcomes.cpp
@@ -258,8 +258,10 @@
     size_t bytes = m_request.memoryBytes();
     if (m_attempt)
         bytes += m_attempt->body->memoryBytes();
+    if (m_attempt && m_attempt->head)
+        bytes += m_attempt->head->memoryBytes();
     if (m_targetFailure)
-        bytes += m_targetFailure->body->memoryBytes();
+        bytes += m_targetFailure->body->memoryBytes() + m_targetFailure->head.memoryBytes();
     if (m_reportCall)
         bytes += MaxReportBytes;
     return m_request.held->resize(bytes, steadyNow());
--- a/libs/capacity/include/capacity/Capacity.h
+++ b/libs/capacity/include/capacity/Capacity.h
@@ -17,8 +17,9 @@
 
 /**
  * The memory that all requests of a process hold together: what was received of them, and the
- * responses that are collected for them. When it is short, requests that are still being received
- * give way; those that hold most, and for longest, first. Used by one thread.
+ * responses that are collected for them. When it is short, what is still being received gives way:
+ * unfinished requests, and unfinished events of responses. Those that hold most, and for longest,
+ * do so first. Used by one thread.
  */
 class RequestMemory {
 public:
@@ -58,13 +59,21 @@
 /** The memory that one request holds. It is released with the object. */
 class HeldMemory {
 public:
+    /** What is being received. */
+    enum class Kind : uint8_t {
+        Request,
+        /** An event of a response. A large one gives way itself before requests do: it is a
+         * target's fault more likely than a callers' crowd. */
+        Event,
+    };
+
     /**
-     * A request that is being received.
+     * A request, or an event of a response, that is being received.
      * @param giveWay called at most once, when the request must release its memory. Not called for
      *        a request while it is being resized itself. It may destroy this object.
      */
-    HeldMemory(
-        std::shared_ptr<RequestMemory> memory, std::function<void()> giveWay, SteadyTime now);
+    HeldMemory(std::shared_ptr<RequestMemory> memory, std::function<void()> giveWay, SteadyTime now,
+        Kind kind = Kind::Request);
     ~HeldMemory();
     HeldMemory(const HeldMemory&) = delete;
     HeldMemory& operator=(const HeldMemory&) = delete;
@@ -94,6 +103,7 @@
     std::function<void()> m_giveWay;
     std::function<void()> m_resume;
     SteadyTime m_beganAt;
+    Kind m_kind;
     size_t m_bytes = 0;
     /** Among the requests that are being received. */
     std::list<HeldMemory*>::iterator m_position;
--- a/libs/capacity/src/HeldMemory.cpp
+++ b/libs/capacity/src/HeldMemory.cpp
@@ -3,10 +3,11 @@
 namespace citronspoke::capacity {
 
 HeldMemory::HeldMemory(
-    std::shared_ptr<RequestMemory> memory, std::function<void()> giveWay, SteadyTime now)
+    std::shared_ptr<RequestMemory> memory, std::function<void()> giveWay, SteadyTime now, Kind kind)
     : m_memory(std::move(memory))
     , m_giveWay(std::move(giveWay))
     , m_beganAt(now)
+    , m_kind(kind)
 {
     m_position = m_memory->m_receiving.insert(m_memory->m_receiving.end(), this);
 }
--- a/libs/capacity/src/RequestMemory.cpp
+++ b/libs/capacity/src/RequestMemory.cpp
@@ -30,6 +30,8 @@
 HeldMemory* RequestMemory::nextToGiveWay(const HeldMemory& grown, SteadyTime now) const
 {
     const bool isSmall = grown.m_bytes <= m_limits.smallRequestBytes;
+    if (!isSmall && grown.m_kind == HeldMemory::Kind::Event)
+        return nullptr;
     HeldMemory* next = nullptr;
     double most = -1;
     for (HeldMemory* held : m_receiving) {
--- a/libs/capacity/tests/CapacityTests.cpp
+++ b/libs/capacity/tests/CapacityTests.cpp
@@ -12,14 +12,15 @@
 
 /** A request that counts what it is told. */
 struct Request {
-    explicit Request(const std::shared_ptr<RequestMemory>& memory, SteadyTime beganAt = Start)
+    explicit Request(const std::shared_ptr<RequestMemory>& memory, SteadyTime beganAt = Start,
+        HeldMemory::Kind kind = HeldMemory::Kind::Request)
         : held(std::make_unique<HeldMemory>(
             memory,
             [this] {
                 gaveWay += 1;
                 held.reset();
             },
-            beganAt))
+            beganAt, kind))
     {
     }
     void serve()
@@ -71,6 +72,36 @@
     cr_expect_eq(request.gaveWay, 0);
 }
 
+// Guards against targets that send events without end and displace the requests of callers.
+Test(request_memory, a_large_event_gives_way_before_requests_do)
+{
+    const std::shared_ptr<RequestMemory> memory = std::make_shared<RequestMemory>(Limits);
+    Request request(memory);
+    Request event(memory, Start, HeldMemory::Kind::Event);
+    cr_assert(request.held->resize(500, Start));
+    cr_assert(event.held->resize(300, Start));
+    cr_assert_not(event.held->resize(301, Start));
+    cr_expect_eq(request.gaveWay + event.gaveWay, 0);
+}
+
+// Guards against streams that make progress and lose their events to one that makes none.
+Test(request_memory, the_largest_and_oldest_event_gives_way_to_a_small_one)
+{
+    const std::shared_ptr<RequestMemory> memory = std::make_shared<RequestMemory>(Limits);
+    const SteadyTime now = Start + Milliseconds(1000);
+    Request endless(memory, Start, HeldMemory::Kind::Event);
+    Request sound(memory, now, HeldMemory::Kind::Event);
+    cr_assert(sound.held->resize(100, now));
+    cr_assert(endless.held->resize(700, now));
+    std::vector<std::unique_ptr<Request>> others;
+    for (int count = 0; count < 3; ++count) {
+        others.push_back(std::make_unique<Request>(memory, now, HeldMemory::Kind::Event));
+        cr_assert(others.back()->held->resize(100, now));
+    }
+    cr_expect_eq(endless.gaveWay, 1);
+    cr_expect_eq(sound.gaveWay, 0);
+}
+
 Test(request_memory, served_requests_do_not_give_way)
 {
     const std::shared_ptr<RequestMemory> memory = std::make_shared<RequestMemory>(Limits);
--- a/tests/crowds/EngineCrowdTests.cpp
+++ b/tests/crowds/EngineCrowdTests.cpp
@@ -43,6 +43,12 @@
     return piece;
 }
 
+void beginEvents(const FakeRequest& request, FakeConnection& connection)
+{
+    connection.send(signedHead(
+        request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+}
+
 /**
  * Asks for streams on all connections of a crowd.
  * @param extraLines of each request; they end with CRLF.
@@ -62,6 +68,27 @@
 
 } // namespace
 
+// Guards against a gateway that keeps the beginning of an event for each stream until its memory
+// ends.
+Test(engine_crowds, events_without_end)
+{
+    expectBorne({ Streams, [](const FakeRequest& request, FakeConnection& connection) {
+                     beginEvents(request, connection);
+                     sendEndlessly(connection, http1::composeChunk(std::string(PieceBytes, 'x')));
+                 } });
+}
+
+// Guards against the same where each event stays below the limit on a single one.
+Test(engine_crowds, large_events_that_are_never_finished)
+{
+    constexpr size_t Sent = 1000 * 1000;
+    expectBorne({ Streams, [](const FakeRequest& request, FakeConnection& connection) {
+                     beginEvents(request, connection);
+                     sendEndlessly(
+                         connection, http1::composeChunk(std::string(PieceBytes, 'x')), Sent);
+                 } });
+}
+
 // Guards against heads of many short fields, which take many times their size once they are parsed.
 Test(engine_crowds, heads_of_short_fields_without_end)
 {
