Calls through libcurl: bounds on what is collected, and statuses that HTTP has

Cause: libcurl accepts any status from 100 to 999, and bounds heads but not bodies; the clients appended without a limit. Change: libs/transport takes statuses outside 200 to 599 for no response. callHttp collects 16 MB at most; the receiver of a stream says whether it wants more, and the agent ends services' responses after 16 MB and unfinished events after 1 MB, as incomplete.

--- a/apps/agent/TargetClient.cpp
+++ b/apps/agent/TargetClient.cpp
@@ -9,6 +9,9 @@
     using nlohmann::json;
 
     constexpr uint32_t HttpOk = 200;
+    constexpr size_t MaxEventBytes = size_t { 1 } << 20;
+    /** Of a service's response; as large as the largest request. */
+    constexpr size_t MaxBodyBytes = size_t { 16 } << 20;
 
     /** Parses the stream of one completion: server-sent events with one token each. */
     struct CompletionStream {
@@ -17,7 +20,8 @@
         std::string buffer;
         bool isComplete = false;
 
-        void feed(std::string_view data, const std::function<void(TokenArrived)>& onToken)
+        /** @return false when an event is larger than any that engines send. */
+        bool feed(std::string_view data, const std::function<void(TokenArrived)>& onToken)
         {
             buffer.append(data);
             size_t begin = 0;
@@ -27,6 +31,7 @@
                 begin = end + 2;
             }
             buffer.erase(0, begin);
+            return buffer.size() <= MaxEventBytes;
         }
 
         void parseEvent(std::string_view event, const std::function<void(TokenArrived)>& onToken)
@@ -77,8 +82,9 @@
     stream->request = job.submit.request;
     const bool isRepeatable = true;
     transport::StreamClient::Callbacks callbacks;
-    callbacks.onData
-        = [this, stream](std::string_view data) { stream->feed(data, m_callbacks.onToken); };
+    callbacks.onData = [this, stream](std::string_view data) {
+        return stream->feed(data, m_callbacks.onToken);
+    };
     callbacks.onEnd = [this, stream](const transport::StreamEnd& end) {
         m_callbacks.onEnd({ stream->request, stream->id, end, stream->isComplete, {} });
     };
@@ -104,7 +110,10 @@
     auto call = std::make_shared<ServiceCall>();
     call->request = job.submit.request;
     transport::StreamClient::Callbacks callbacks;
-    callbacks.onData = [call](std::string_view data) { call->body.append(data); };
+    callbacks.onData = [call](std::string_view data) {
+        call->body.append(data);
+        return call->body.size() <= MaxBodyBytes;
+    };
     callbacks.onEnd = [this, call](const transport::StreamEnd& end) {
         const bool isComplete = end.complete && end.status >= HttpOk;
         m_callbacks.onEnd({ call->request, call->id, end, isComplete, std::move(call->body) });
--- a/libs/transport/include/transport/Transport.h
+++ b/libs/transport/include/transport/Transport.h
@@ -140,7 +140,8 @@
 /**
  * Sends one HTTP request and waits for the response. Each thread reuses its own connections.
  * @param limit longest time for the whole call, in milliseconds.
- * @throws HttpFailed when there was no complete response within the limit.
+ * @throws HttpFailed when there was no complete response within the limit, or one of more than
+ *         16 MB.
  */
 HttpResponse callHttp(const HttpRequest& request, Milliseconds limit);
 
@@ -172,7 +173,8 @@
 class StreamClient {
 public:
     struct Callbacks {
-        std::function<void(std::string_view)> onData;
+        /** @return false to end the call early, as an incomplete one. */
+        std::function<bool(std::string_view)> onData;
         std::function<void(const StreamEnd&)> onEnd;
     };
 
--- a/libs/transport/src/HttpClient.cpp
+++ b/libs/transport/src/HttpClient.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr long ConnectTimeoutMs = 1000;
+    /** Largest body that callHttp collects. */
+    constexpr size_t MaxBodyBytes = size_t { 16 } << 20;
 
     struct CurlGlobal {
         CurlGlobal() { curl_global_init(CURL_GLOBAL_DEFAULT); }
@@ -86,6 +88,14 @@
         return handle.get();
     }
 
+    /** @return whether HTTP has such a status for the end of a call; libcurl accepts others. */
+    bool isFinalStatus(uint32_t status)
+    {
+        constexpr uint32_t First = 200;
+        constexpr uint32_t Last = 599;
+        return status >= First && status <= Last;
+    }
+
     uint32_t statusOf(CURL* easy)
     {
         long status = 0;
@@ -100,6 +110,8 @@
     CURL* easy = threadLocalHandle();
     HttpResponse response;
     DataCallback onData = [&response](std::string_view text) {
+        if (response.body.size() + text.size() > MaxBodyBytes)
+            return false;
         response.body.append(text);
         return true;
     };
@@ -111,6 +123,8 @@
     if (code != CURLE_OK)
         throw HttpFailed(request.target, curl_easy_strerror(code), !certainlyNotSent(code));
     response.status = statusOf(easy);
+    if (!isFinalStatus(response.status))
+        throw HttpFailed(request.target, "not an HTTP status", true);
     return response;
 }
 
@@ -196,7 +210,7 @@
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
             StreamEnd end;
             end.status = statusOf(message->easy_handle);
-            end.complete = code == CURLE_OK;
+            end.complete = code == CURLE_OK && isFinalStatus(end.status);
             end.mayHaveArrived = !certainlyNotSent(code);
             const Callbacks callbacks = transfer->callbacks;
             remove(transfer->id);
@@ -230,10 +244,7 @@
     transfer->request = std::move(request);
     transfer->callbacks = std::move(callbacks);
     Implementation::Transfer* raw = transfer.get();
-    transfer->onData = [raw](std::string_view text) {
-        raw->callbacks.onData(text);
-        return true;
-    };
+    transfer->onData = [raw](std::string_view text) { return raw->callbacks.onData(text); };
     CURL* easy = transfer->easy.get();
     transfer->headers = configureRequest(easy, transfer->request, transfer->onData);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, raw);
--- a/tools/load/LoadGenerator.cpp
+++ b/tools/load/LoadGenerator.cpp
@@ -134,7 +134,10 @@
         sent->kind = arrival.kind;
         sent->sentAt = steadyNow();
         transport::StreamClient::Callbacks callbacks;
-        callbacks.onData = [sent](std::string_view data) { sent->noteData(data); };
+        callbacks.onData = [sent](std::string_view data) {
+            sent->noteData(data);
+            return true;
+        };
         callbacks.onEnd = [sent](const transport::StreamEnd& end) { sent->noteEnd(end); };
         client.start(std::move(request), true, std::move(callbacks));
     }
