--- a/apps/gateway/RequestHandler.h
+++ b/apps/gateway/RequestHandler.h
@@ -163,6 +163,7 @@
     uint32_t priority() const;
     /** Sends a stream that the caller resumes once it is known where it began. */
     void resumeStream();
+    /** Enters the pool that began the stream, if it can be reached, and goes on there. */
     void goOnFrom(const streams::Origin& origin);
     void sendNext();
     // Each returns whether the request is taken care of: sent, waiting for its turn or refused.
@@ -243,8 +244,11 @@
     void onHead(const http1::ResponseHead& head);
     void onBody(std::string_view bytes);
     void relayEvents(std::string_view bytes);
-    /** Counts the memory of an event that has been received in part.
-     * @return whether there is enough. */
+    /**
+     * Counts the memory of an event that has been received in part.
+     * @param hasProgressed another event was completed since the last call.
+     * @return whether there is enough.
+     */
     bool countEvent(bool hasProgressed);
     /** The memory of the unfinished event is needed. */
     void dropEvent();
--- a/apps/gateway/RequestHandlerOutcomes.cpp
+++ b/apps/gateway/RequestHandlerOutcomes.cpp
@@ -1,4 +1,4 @@
-// Retries after an attempt, the ends of a request without a target's response, and its memory.
+// Retries after an attempt, and the ends of a request without a target's response.
 #include "Durations.h"
 #include "RequestHandler.h"
 #include "Statuses.h"
@@ -251,28 +251,6 @@
     m_prefilledPrompt.reset();
 }
 
-bool RequestHandler::countHeld()
-{
-    if (!m_request.held)
-        return true;
-    size_t bytes = m_request.memoryBytes();
-    if (m_attempt)
-        bytes += m_attempt->body->memoryBytes();
-    if (m_attempt && m_attempt->head)
-        bytes += m_attempt->head->memoryBytes();
-    if (m_targetFailure)
-        bytes += m_targetFailure->body->memoryBytes() + m_targetFailure->head.memoryBytes();
-    if (m_reportCall)
-        bytes += MaxReportBytes;
-    return m_request.held->resize(bytes, steadyNow());
-}
-
-void RequestHandler::continueHolding()
-{
-    if (!m_isOver && m_attempt && !m_attempt->isRelayed && m_attempt->exchange)
-        m_attempt->exchange->setReading(true);
-}
-
 void RequestHandler::callerLeft()
 {
     if (m_isOver)
--- a/apps/gateway/RequestHandlerResponses.cpp
+++ b/apps/gateway/RequestHandlerResponses.cpp
@@ -16,8 +16,6 @@
     /** A target may send bytes without end; these are held in memory until a response is whole. */
     constexpr size_t MaxBufferedResponseBytes = size_t { 4 } << 20;
     constexpr size_t MaxEventBytes = size_t { 1 } << 20;
-    /** Less than this of an unfinished event is not counted; each connection may have so much. */
-    constexpr size_t MaxUncountedEventBytes = size_t { 4 } << 10;
     /** The handle of a prompt, in a short document. */
     constexpr size_t MaxPrefillResponseBytes = size_t { 64 } << 10;
 
@@ -163,48 +161,6 @@
     }
 }
 
-bool RequestHandler::countEvent(bool hasProgressed)
-{
-    const size_t bytes = m_attempt->splitter.memoryBytes();
-    if (hasProgressed || bytes <= MaxUncountedEventBytes)
-        m_attempt->heldEvent.reset();
-    if (bytes <= MaxUncountedEventBytes)
-        return true;
-    const SteadyTime now = steadyNow();
-    if (!m_attempt->heldEvent)
-        m_attempt->heldEvent = std::make_unique<capacity::HeldMemory>(
-            m_context.requestMemory, [this] { dropEvent(); }, now,
-            capacity::HeldMemory::Kind::Event);
-    return m_attempt->heldEvent->resize(bytes, now);
-}
-
-void RequestHandler::dropEvent()
-{
-    m_attempt->isCutShort = true;
-    m_attempt->splitter.clear();
-    // Another request is being served on the call stack.
-    const uint32_t number = m_attempt->number;
-    m_context.loop.post([weak = weak_from_this(), number] {
-        const std::shared_ptr<RequestHandler> self = weak.lock();
-        if (self && !self->m_isOver && self->m_attempt->number == number)
-            self->endOversizedAttempt();
-    });
-}
-
-void RequestHandler::endOversizedAttempt()
-{
-    telemetry::logWarning("request", "Broke off a response that is too long.",
-        { { "id", m_callerInfo.attempt.text() }, { "attempt", std::to_string(m_attempt->number) },
-            { "target", m_attempt->target.id.text() },
-            { "held",
-                std::to_string(
-                    m_attempt->body->memoryBytes() + m_attempt->splitter.memoryBytes()) },
-            { "held_all", std::to_string(m_context.requestMemory->total()) } });
-    telemetry::count("oversized_responses");
-    m_attempt->exchange->cancel();
-    afterAttempt(Outcome::Unknown);
-}
-
 void RequestHandler::relayEvents(std::string_view bytes)
 {
     std::string whole;
--- a/apps/gateway/tests/CallerLimitTests.cpp
+++ b/apps/gateway/tests/CallerLimitTests.cpp
@@ -11,7 +11,7 @@
 
 /** The coalescing time of the gateway's store feed, and some more. */
 constexpr Milliseconds AdoptionTime { 600 };
-constexpr int KiB = 1024;
+constexpr size_t KiB = 1024;
 
 std::string postText(const std::string& attempt, size_t bodyBytes, const std::string& lines = {})
 {
@@ -32,7 +32,7 @@
         start();
         waitUntil([this] { return readiness() == 200; });
     }
-    void changeLimit(const std::string& name, int value)
+    void changeLimit(const std::string& name, size_t value)
     {
         setLimit(name, value);
         declare(++m_version);
@@ -86,7 +86,7 @@
 // one that has become allowed meanwhile.
 Test(caller_limits, that_change_within_a_request_refuse_only_what_none_of_them_allows)
 {
-    for (const int changed : { KiB, 1024 * KiB }) {
+    for (const size_t changed : { KiB, 1024 * KiB }) {
         LimitFixture fixture;
         fixture.startServing();
         const size_t size = changed == KiB ? 60 * KiB : 100 * KiB;
@@ -97,7 +97,7 @@
         fixture.changeLimit("maxBodyBytes", changed);
         caller.send(http1::composeChunk(std::string(size - 30 * KiB, 'b')));
         caller.send(http1::LastChunk);
-        cr_expect_eq(caller.receive().status, 200U, "limit changed to %d", changed);
+        cr_expect_eq(caller.receive().status, 200U, "limit changed to %zu", changed);
         cr_expect_eq(fixture.send(caller, postText("a2", size)), changed == KiB ? 413U : 200U);
     }
 }
@@ -106,8 +106,8 @@
 // and against ones that outlast a new one.
 Test(caller_limits, on_idle_time_hold_for_connections_that_are_idle)
 {
-    constexpr int Short = 1500;
-    constexpr int Long = 15000;
+    constexpr size_t Short = 1500;
+    constexpr size_t Long = 15000;
     for (const bool isRaised : { true, false }) {
         LimitFixture fixture;
         fixture.setLimit("idleTimeoutMs", isRaised ? Short : Long);
--- a/apps/gateway/tests/GatewayFixture.h
+++ b/apps/gateway/tests/GatewayFixture.h
@@ -33,7 +33,7 @@
     /** The next declarations have no organisations. */
     void removeOrganisations() { m_organisations = nullptr; }
     /** Sets a limit on callers, by its name in the next declarations. */
-    void setLimit(const std::string& name, int value) { m_limits[name] = value; }
+    void setLimit(const std::string& name, size_t value) { m_limits[name] = value; }
     /** Writes the declaration with the routes added so far. */
     void declare(int version);
     /** @return the document that declare() writes. */
--- a/libs/peers/src/OriginBatchCodec.cpp
+++ b/libs/peers/src/OriginBatchCodec.cpp
@@ -40,6 +40,7 @@
         byOrigin[{ note.origin.version.text(), note.origin.pool.text() }].push_back(
             note.attempt.text());
     std::vector<GroupTuple> groups;
+    groups.reserve(byOrigin.size());
     for (auto& [origin, attempts] : byOrigin)
         groups.emplace_back(origin.first, origin.second, std::move(attempts));
     return pack(BatchTuple(static_cast<uint8_t>(OriginKind::Batch), std::move(groups)));
--- a/tests/crowds/EngineCrowdTests.cpp
+++ b/tests/crowds/EngineCrowdTests.cpp
@@ -81,7 +81,7 @@
 // Guards against the same where each event stays below the limit on a single one.
 Test(engine_crowds, large_events_that_are_never_finished)
 {
-    constexpr size_t Sent = 1000 * 1000;
+    constexpr size_t Sent = 1000000;
     expectBorne({ Streams, [](const FakeRequest& request, FakeConnection& connection) {
                      beginEvents(request, connection);
                      sendEndlessly(
