--- a/apps/agent/TargetClient.cpp
+++ b/apps/agent/TargetClient.cpp
@@ -82,9 +82,8 @@
     stream->request = job.submit.request;
     const bool isRepeatable = true;
     transport::StreamClient::Callbacks callbacks;
-    callbacks.onData = [this, stream](std::string_view data) {
-        return stream->feed(data, m_callbacks.onToken);
-    };
+    callbacks.onData
+        = [this, stream](std::string_view data) { return stream->feed(data, m_callbacks.onToken); };
     callbacks.onEnd = [this, stream](const transport::StreamEnd& end) {
         m_callbacks.onEnd({ stream->request, stream->id, end, stream->isComplete, {} });
     };
