--- a/review/stand-ins-3/Deployment.cpp
+++ b/review/stand-ins-3/Deployment.cpp
@@ -67,7 +67,7 @@
 std::string entryText(const ServerEntry& entry)
 {
     Json text { { "service", entry.service }, { "address", entry.address }, { "zone", "zone-a" },
-        { "version", entry.version }, { "slots", 6 }, { "state", "ready" },
+        { "version", entry.version }, { "slots", 6 }, { "state", entry.state },
         { "coldRemainingMs", 0 }, { "seq", entry.sequence }, { "born", entry.born } };
     if (!entry.phase.empty())
         text["phase"] = entry.phase;
--- a/review/stand-ins-3/Deployment.h
+++ b/review/stand-ins-3/Deployment.h
@@ -44,6 +44,7 @@
     std::string address;
     /** Empty for an application. */
     std::string phase;
+    std::string state = "ready";
     std::string version = "v1";
     /** Unix milliseconds of its start. */
     int64_t born = 0;
--- a/review/stand-ins-3/Fleet.cpp
+++ b/review/stand-ins-3/Fleet.cpp
@@ -47,6 +47,14 @@
         place.server.reset();
 }
 
+Incarnation Fleet::drain(size_t place)
+{
+    std::lock_guard lock(m_mutex);
+    m_places[place].incarnation.entry.state = "draining";
+    publish(m_places[place]);
+    return m_places[place].incarnation;
+}
+
 void Fleet::crash(const Incarnation& incarnation)
 {
     std::lock_guard lock(m_mutex);
@@ -66,6 +74,7 @@
         = m_service + "-" + std::to_string(incarnation.place) + "-" + std::to_string(place.starts);
     incarnation.entry.service = m_service;
     incarnation.entry.address = place.server->address();
+    incarnation.entry.state = "ready";
     incarnation.entry.born = unixNow();
     incarnation.entry.sequence = 0;
     place.server->start();
--- a/review/stand-ins-3/Fleet.h
+++ b/review/stand-ins-3/Fleet.h
@@ -30,6 +30,8 @@
     Fleet(const Fleet&) = delete;
     Fleet& operator=(const Fleet&) = delete;
 
+    /** Reports that a server leaves; it serves on. @return what it is. */
+    Incarnation drain(size_t place);
     /** Ends a server; all its connections end with it. */
     void crash(const Incarnation& incarnation);
 
