--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,13 +4,13 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for scenario in review/1[1-5]/Scenario.cpp; do
-    [ -f "$scenario" ] || continue
-    number=$(basename "$(dirname "$scenario")")
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread review/stand-ins-3/*.cpp "$scenario" \
+for case_source in review/1[1-5]/Case.cpp; do
+    [ -f "$case_source" ] || continue
+    number=$(basename "$(dirname "$case_source")")
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread review/stand-ins-3/*.cpp "$case_source" \
         -o "target/review-3/case-$number" &
 done
 wait
-for scenario in review/1[1-5]/Scenario.cpp; do
-    [ ! -f "$scenario" ] || [ -x "target/review-3/case-$(basename "$(dirname "$scenario")")" ]
+for case_source in review/1[1-5]/Case.cpp; do
+    [ ! -f "$case_source" ] || [ -x "target/review-3/case-$(basename "$(dirname "$case_source")")" ]
 done
