--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,7 @@
 # build of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+rm -rf target/review-3
 mkdir -p target/review-3
 for case_source in review/1[1-5]/Case.cpp; do
     [ -f "$case_source" ] || continue
